--- a/Makefile
+++ b/Makefile
@@ -13,17 +13,18 @@
 PKGS = glib-2.0 libzmq json-c libsodium libxxhash liburcu mpack gsl
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
-CFLAGS = $(CSTD) $(WARN) $(OPT) $(SAN) -Isrc $(PKG_CFLAGS) -pthread
+CFLAGS = $(CSTD) $(WARN) $(OPT) $(SAN) -Isrc -Isrc/edge -Iplatform $(PKG_CFLAGS) -pthread
 LDLIBS = $(PKG_LIBS) -lcivetweb -lhttp_parser -largtable2 -lm -pthread
 
-LIB_SRC := $(filter-out src/main.c,$(wildcard src/*.c))
-LIB_OBJ := $(LIB_SRC:src/%.c=$(BUILD)/obj/%.o)
+LIB_SRC := $(filter-out src/main.c,$(wildcard src/*.c src/edge/*.c \
+	platform/*.c))
+LIB_OBJ := $(addprefix $(BUILD)/obj/,$(notdir $(LIB_SRC:.c=.o)))
 LIB = $(BUILD)/libcurrantpaddle.a
 TOOL_LIB_SRC := $(wildcard tools/lib/*.c)
 TOOL_LIB = $(BUILD)/libtools.a
 TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
-FORMATTED := $(wildcard src/*.[ch] tools/*.[ch] \
+FORMATTED := $(wildcard src/*.[ch] src/edge/*.[ch] platform/*.[ch] tools/*.[ch] \
 	tools/lib/*.[ch] tests/*.[ch])
 
 # make V=1 prints the commands.
@@ -40,7 +41,10 @@
 	$(Q)rm -f $@
 	$(Q)ar rcs $@ $^
 
-$(BUILD)/obj/%.o: src/%.c | $(BUILD)/obj
+# The folders of the program; file names are unique among them.
+vpath %.c src src/edge platform
+
+$(BUILD)/obj/%.o: %.c | $(BUILD)/obj
 	$(say) CC $@
 	$(Q)$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
@@ -81,13 +85,14 @@
 format-check:
 	@clang-format --dry-run -Werror $(FORMATTED)
 
-TIDY_STAMPS = $(patsubst %,$(BUILD)/tidy/%.ok,$(wildcard src/*.c tools/*.c \
-	tools/lib/*.c))
+TIDY_STAMPS = $(patsubst %,$(BUILD)/tidy/%.ok,$(wildcard src/*.c \
+	src/edge/*.c platform/*.c tools/*.c tools/lib/*.c))
 
 $(BUILD)/tidy/%.ok: % .clang-tidy
 	@mkdir -p $(dir $@)
 	$(say) TIDY $<
-	$(Q)clang-tidy --quiet $< -- $(CSTD) -Isrc -Itools/lib $(PKG_CFLAGS) 2>/dev/null
+	$(Q)clang-tidy --quiet $< -- $(CSTD) -Isrc -Isrc/edge \
+		-Iplatform -Itools/lib $(PKG_CFLAGS) 2>/dev/null
 	@touch $@
 
 lint: $(TIDY_STAMPS)
--- /dev/null
+++ b/src/edge/conf.c
@@ -0,0 +1,163 @@
+#include "conf.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+
+#define MIN_CAP 16
+#define DEFAULT_HEAD_BYTES 16384
+#define DEFAULT_BODY_BYTES (64 << 20)
+#define DEFAULT_HEAD_TIMEOUT_NS INT64_C(3000000000)
+#define DEFAULT_IDLE_TIMEOUT_NS INT64_C(15000000000)
+
+static void *grow(void *old, uint32_t len, uint32_t *cap, size_t size)
+{
+	void *p;
+
+	if (len < *cap)
+		return old;
+	*cap = *cap ? *cap * 2 : MIN_CAP;
+	p = realloc(old, *cap * size);
+	if (!p)
+		abort();
+	return p;
+}
+
+struct conf *conf_new(void)
+{
+	struct conf *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	arn_init(&c->arena);
+	idx_init(&c->by_prefix);
+	c->limits = (struct conf_limits){
+		.max_head_bytes = DEFAULT_HEAD_BYTES,
+		.max_body_bytes = DEFAULT_BODY_BYTES,
+		.head_timeout_ns = DEFAULT_HEAD_TIMEOUT_NS,
+		.idle_timeout_ns = DEFAULT_IDLE_TIMEOUT_NS,
+	};
+	return c;
+}
+
+void conf_free(struct conf *c)
+{
+	if (!c)
+		return;
+	idx_free(&c->by_prefix);
+	free(c->routes);
+	free(c->parts);
+	free(c->services);
+	arn_free(&c->arena);
+	free(c);
+}
+
+uint64_t conf_service_key(struct str name)
+{
+	uint64_t key = str_hash(name);
+
+	return key ? key : 1;
+}
+
+void conf_add_service(struct conf *c, const struct conf_service *service)
+{
+	struct conf_service *s;
+
+	c->services = grow(c->services, c->service_count, &c->service_cap,
+			   sizeof(*s));
+	s = &c->services[c->service_count++];
+	*s = *service;
+	s->name = arn_str(&c->arena, service->name);
+	s->health_path = arn_str(&c->arena, service->health_path);
+	s->key = conf_service_key(s->name);
+}
+
+/* Host names compare without regard to case. */
+static uint64_t prefix_key(struct str host, struct str prefix)
+{
+	char lower[256];
+	uint64_t key;
+	size_t i, n = host.len < sizeof(lower) ? host.len : sizeof(lower);
+
+	for (i = 0; i < n; i++)
+		lower[i] = (char)tolower((unsigned char)host.ptr[i]);
+	key = str_hash((struct str){lower, n}) * UINT64_C(0x9e3779b97f4a7c15) ^
+	      str_hash(prefix);
+	return key ? key : 1;
+}
+
+void conf_add_route(struct conf *c, const struct conf_route *route,
+		    const struct conf_part *parts, uint32_t part_count)
+{
+	struct conf_route *r;
+	uint32_t i;
+
+	c->routes = grow(c->routes, c->route_count, &c->route_cap, sizeof(*r));
+	r = &c->routes[c->route_count++];
+	*r = *route;
+	r->name = arn_str(&c->arena, route->name);
+	r->host = arn_str(&c->arena, route->host);
+	r->prefix = arn_str(&c->arena, route->prefix);
+	r->part_first = c->part_count;
+	r->part_count = part_count;
+	for (i = 0; i < part_count; i++) {
+		c->parts = grow(c->parts, c->part_count, &c->part_cap,
+				sizeof(*c->parts));
+		c->parts[c->part_count++] = parts[i];
+	}
+	idx_put(&c->by_prefix, prefix_key(r->host, r->prefix),
+		(struct hnd){c->route_count, 1});
+}
+
+const struct conf_service *conf_service(const struct conf *c, uint64_t key)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->service_count; i++)
+		if (c->services[i].key == key)
+			return &c->services[i];
+	return NULL;
+}
+
+const struct conf_route *conf_find(const struct conf *c, struct str host,
+				   struct str path)
+{
+	size_t len;
+
+	host = str_split(&host, ':');
+	path = str_split(&path, '?');
+	for (len = path.len; len > 0; len--) {
+		struct str prefix = {path.ptr, len};
+		const struct conf_route *r;
+		struct hnd h;
+
+		if (path.ptr[len - 1] != '/')
+			continue;
+		h = idx_get(&c->by_prefix, prefix_key(host, prefix));
+		if (!h.slot)
+			continue;
+		r = &c->routes[h.slot - 1];
+		if (str_eq_nocase(r->host, host) && str_eq(r->prefix, prefix))
+			return r;
+	}
+	return NULL;
+}
+
+uint64_t conf_draw_service(const struct conf *c, const struct conf_route *r,
+			   uint64_t draw)
+{
+	const struct conf_part *parts = &c->parts[r->part_first];
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->part_count; i++)
+		sum += parts[i].weight;
+	if (!sum)
+		return r->part_count ? parts[0].service : 0;
+	draw %= sum;
+	for (i = 0; i + 1 < r->part_count; i++) {
+		if (draw < parts[i].weight)
+			break;
+		draw -= parts[i].weight;
+	}
+	return parts[i].service;
+}
--- /dev/null
+++ b/src/edge/dia.c
@@ -0,0 +1,9 @@
+#include "dia.h"
+
+const struct dia dia_default = {
+	.request_id = {"X-Request-Id", 12},
+	.deadline_ms = {"X-Deadline-Ms", 13},
+	.expect_server = {"X-Expect-Server", 15},
+	.not_run = {"X-Not-Run", 9},
+	.proof = {NULL, 0},
+};
--- /dev/null
+++ b/src/edge/edge.c
@@ -0,0 +1,273 @@
+#include "edge_run.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include <sodium.h>
+
+#include "call.h"
+#include "cin.h"
+#include "exits.h"
+#include "link.h"
+#include "logs.h"
+#include "mem.h"
+#include "news.h"
+#include "req.h"
+#include "srv.h"
+
+/* Pause between two looks at idle connections. */
+#define EXPIRE_PERIOD_NS (500 * NS_PER_MS)
+/* Before the platform ends the process by force. */
+#define GRACE_MARGIN_NS (400 * NS_PER_MS)
+/* Share of the grace time in which new requests are still taken, in
+ * thousandths: callers keep addresses for a while. */
+#define LEAVE_ACCEPT_SHARE 500
+
+uint64_t edge_key(struct str name)
+{
+	uint64_t key = str_hash(name);
+
+	return key ? key : 1;
+}
+
+/* xorshift64*: spreads choices; nothing secret depends on it. */
+uint64_t edge_random(struct edge *e)
+{
+	uint64_t x = e->random_state;
+
+	x ^= x >> 12;
+	x ^= x << 25;
+	x ^= x >> 27;
+	e->random_state = x;
+	return x * UINT64_C(2685821657736338717);
+}
+
+bool edge_is_ready(const struct edge *e)
+{
+	return e->conf && e->servers_known && !e->leaving;
+}
+
+void edge_set_conf(struct edge *e, struct conf *conf)
+{
+	if (e->conf && conf->version <= e->conf->version) {
+		conf_free(conf);
+		return;
+	}
+	logs_event(LOGS_INFO, "config",
+		   (struct logs_field[]){
+			   LOGS_INT("version", conf->version),
+			   LOGS_INT("before", e->conf ? e->conf->version : 0),
+			   LOGS_INT("routes", conf->route_count),
+			   LOGS_INT("services", conf->service_count),
+		   },
+		   4);
+	conf_free(e->conf);
+	e->conf = conf;
+}
+
+void edge_set_store(struct edge *e, bool up)
+{
+	if (up && !e->store_up)
+		e->store_back_ns = e->ev.now_ns;
+	e->store_up = up;
+}
+
+struct svc_row *edge_service(struct edge *e, uint64_t key)
+{
+	struct svc_row *s;
+	uint32_t i;
+	void *row;
+
+	for (i = 0; i < e->services.len; i++) {
+		s = tab_at(&e->services, i);
+		if (s->key == key)
+			return s;
+	}
+	tab_add(&e->services, &row);
+	s = row;
+	s->key = key;
+	return s;
+}
+
+static bool is_drained(const struct edge *e)
+{
+	int64_t since = e->ev.now_ns - e->leave_ns;
+
+	if (since >= e->set.grace_ns - GRACE_MARGIN_NS)
+		return true;
+	return since >= e->set.grace_ns * LEAVE_ACCEPT_SHARE / 1000 &&
+	       !e->requests.len;
+}
+
+/* The systems, in the order that docs/design.md gives. */
+static void tick(void *ctx, int64_t now_ns)
+{
+	struct edge *e = ctx;
+
+	call_tick(e, now_ns);
+	srv_tick(e, now_ns);
+	req_tick(e, now_ns);
+	req_sweep(e);
+	link_sweep(e);
+	cin_sweep(e);
+	if (!e->leaving)
+		return;
+	if (e->ev.now_ns - e->leave_ns >=
+	    e->set.grace_ns * LEAVE_ACCEPT_SHARE / 1000)
+		cin_leave(e);
+	if (is_drained(e))
+		e->ev.stop = true;
+}
+
+static int64_t next_due(void *ctx)
+{
+	const struct edge *e = ctx;
+	int64_t due = req_next_due(e);
+	int64_t other = srv_next_due(e);
+
+	if (other < due)
+		due = other;
+	other = call_next_due(e);
+	return other < due ? other : due;
+}
+
+static void expire(void *ctx, int64_t now_ns)
+{
+	struct edge *e = ctx;
+
+	cin_expire(e);
+	link_expire(e);
+}
+
+static void on_signal(void *ctx, int number)
+{
+	struct edge *e = ctx;
+
+	if (number == SIGHUP) {
+		/* Settings are read at the start only; nothing in them
+		 * concerns requests in flight. */
+		logs_msg(LOGS_INFO, "reload", "no setting is reloadable");
+		return;
+	}
+	if (e->leaving)
+		return;
+	logs_event(LOGS_INFO, "stop",
+		   (struct logs_field[]){
+			   LOGS_INT("signal", number),
+			   LOGS_INT("requests", e->requests.len),
+			   LOGS_INT("connections", e->callers.len),
+		   },
+		   3);
+	e->leaving = true;
+	e->leave_ns = e->ev.now_ns;
+	news_members(e, true);
+}
+
+static enum err init(struct edge *e, const struct edge_opts *opts)
+{
+	struct timespec now;
+
+	e->dia = opts->dialect;
+	e->ops = opts->ops;
+	e->news_fd = -1;
+	if (ev_init(&e->ev))
+		return ERR_IO;
+	tab_init(&e->services, sizeof(struct svc_row));
+	tab_init(&e->servers, sizeof(struct srv_row));
+	tab_init(&e->requests, sizeof(struct req_row));
+	tab_init(&e->callers, sizeof(struct cin_row));
+	tab_init(&e->links, sizeof(struct link_row));
+	tab_init(&e->members, sizeof(struct mem_row));
+	tab_init(&e->calls, sizeof(struct call_row));
+	idx_init(&e->server_by_key);
+	idx_init(&e->member_by_key);
+	clock_gettime(CLOCK_REALTIME, &now);
+	e->incarnation =
+		(uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+	e->zone = edge_key(e->set.zone);
+	e->region = edge_key(e->set.region);
+	e->self = edge_key(e->set.id);
+	randombytes_buf(&e->random_state, sizeof(e->random_state));
+	e->random_state |= 1;
+	return ERR_OK;
+}
+
+static void release(struct edge *e)
+{
+	e->ops.stop(e->ops.ctx);
+	cin_stop(e);
+	link_stop(e);
+	req_sweep(e);
+	call_stop(e);
+	news_stop(e);
+	tab_free(&e->services);
+	tab_free(&e->servers);
+	tab_free(&e->requests);
+	tab_free(&e->callers);
+	tab_free(&e->links);
+	tab_free(&e->members);
+	tab_free(&e->calls);
+	idx_free(&e->server_by_key);
+	idx_free(&e->member_by_key);
+	conf_free(e->conf);
+	ev_free(&e->ev);
+	eset_free(&e->set);
+}
+
+static enum err start(struct edge *e)
+{
+	if (ev_catch(SIGTERM) || ev_catch(SIGINT) || ev_catch(SIGHUP))
+		return ERR_IO;
+	signal(SIGPIPE, SIG_IGN);
+	mem_start(e);
+	link_start(e);
+	call_setup(e);
+	tmr_subscribe(&e->ev.timers, &(struct tmr_opts){
+					     .due_ns = e->ev.now_ns,
+					     .period_ns = EXPIRE_PERIOD_NS,
+					     .fire = expire,
+					     .ctx = e,
+				     });
+	if (cin_start(e) || news_start(e))
+		return ERR_IO;
+	return e->ops.start(e->ops.ctx);
+}
+
+int edge_run(struct edge *e, const struct edge_opts *opts)
+{
+	struct ev_opts loop = {
+		.tick = tick,
+		.next_due = next_due,
+		.signal = on_signal,
+		.ctx = e,
+	};
+	enum err err = init(e, opts);
+
+	if (!err)
+		err = start(e);
+	if (err) {
+		logs_msg(LOGS_ERROR, "start", "cannot start: %s",
+			 err_name(err));
+		release(e);
+		return EXITS_FAILURE;
+	}
+	logs_event(LOGS_INFO, "start",
+		   (struct logs_field[]){
+			   LOGS_STR("zone", e->set.zone),
+			   LOGS_STR("region", e->set.region),
+			   LOGS_INT("seeds", e->set.seed_count),
+			   LOGS_INT("incarnation", e->incarnation),
+		   },
+		   4);
+	ev_run(&e->ev, &loop);
+	logs_event(LOGS_INFO, "end",
+		   (struct logs_field[]){
+			   LOGS_INT("requests", e->requests.len),
+			   LOGS_INT("connections", e->callers.len),
+		   },
+		   2);
+	release(e);
+	return EXITS_OK;
+}
--- /dev/null
+++ b/src/edge/edge.h
@@ -0,0 +1,215 @@
+#ifndef EDGE_H
+#define EDGE_H
+
+#include <netinet/in.h>
+
+#include "conf.h"
+#include "dia.h"
+#include "eset.h"
+#include "ev.h"
+
+#define EDGE_ID_BYTES 72
+/* Backend servers that one request is remembered to have tried. */
+#define EDGE_MAX_TRIED 6
+
+/*
+ * Tables of an edge process. Each struct is a row; docs/design.md lists the
+ * systems that read and write it. Zones, regions and services are named by
+ * the hash of their name.
+ */
+
+/* A service, with the window of its retry budget. */
+struct svc_row {
+	uint64_t key;
+	struct str name;
+	/* Requests and repeats of this VM in the current and last half
+	 * window. */
+	uint32_t requests[3];
+	uint32_t repeats[3];
+	int64_t half_since_ns;
+	/* Running mean of the time to a complete answer. */
+	int64_t mean_ns;
+	/* Servers listed, and those out of regular traffic. */
+	uint32_t listed;
+	uint32_t suspects;
+};
+
+enum srv_state {
+	SRV_READY,
+	SRV_DRAINING,
+	/* No longer listed; the row stays while requests are in flight. */
+	SRV_GONE,
+};
+
+/* A backend server: one incarnation. */
+struct srv_row {
+	char id[EDGE_ID_BYTES];
+	uint64_t key;
+	uint64_t service;
+	uint64_t zone;
+	uint64_t region;
+	struct sockaddr_in addr;
+	uint32_t slots;
+	enum srv_state state;
+	int64_t born_ms;
+	uint64_t seq;
+	uint64_t version;
+	int64_t warm_until_ns;
+	int64_t joined_ns;
+	/* When a missing row is taken as gone; 0 while listed. */
+	int64_t missing_until_ns;
+	/* Work of this VM. */
+	uint32_t in_flight;
+	uint32_t idle_links;
+	/* Refused for lack of room; no new work until then. */
+	int64_t full_until_ns;
+	/* Ejection: out of regular traffic since, and the next trial. */
+	bool suspect;
+	int64_t suspect_ns;
+	int64_t next_trial_ns;
+	int64_t last_proof_ns;
+	uint32_t trial_successes;
+	uint32_t trial_failures;
+	/* Weight of recent failures; decays with time from score_ns. */
+	double score;
+	int64_t score_ns;
+	/* Complete reading of the store that listed this server last. */
+	uint32_t read_mark;
+};
+
+enum req_state {
+	/* The body is being received. */
+	REQ_BODY,
+	/* Waiting for a backend server with room. */
+	REQ_QUEUED,
+	/* On a connection that is not yet established. */
+	REQ_CONNECTING,
+	/* Bytes of it were sent; it may have run. */
+	REQ_SENT,
+	/* The answer's head went to the caller. */
+	REQ_RELAY,
+	/* Answered or given up; the row goes with the next req_sweep(). */
+	REQ_DONE,
+};
+
+/* A caller's request in flight. */
+struct req_row {
+	struct hnd caller;
+	struct hnd link;
+	/* Of the current attempt. */
+	struct hnd server;
+	enum req_state state;
+	enum conf_kind kind;
+	uint64_t service;
+	uint32_t priority;
+	/* Most backend servers that it is sent to. */
+	uint32_t attempts;
+	uint32_t connects_left;
+	uint32_t sends;
+	bool head_method;
+	/* An attempt whose outcome is unknown; no "not run" afterwards. */
+	bool may_have_run;
+	/* This attempt tries an ejected server. */
+	bool trial;
+	/* The attempt was reported as stalled. */
+	bool stalled;
+	bool streaming;
+	bool body_done;
+	bool chunked;
+	bool has_length;
+	int64_t start_ns;
+	int64_t queued_ns;
+	int64_t retry_ns;
+	int64_t connect_ns;
+	int64_t sent_ns;
+	/* The caller's deadline and the earlier of it and the timeout. */
+	int64_t deadline_ns;
+	int64_t limit_ns;
+	int64_t objective_ns;
+	uint64_t length;
+	char id[EDGE_ID_BYTES];
+	struct strbuf head;
+	struct strbuf body;
+	uint64_t tried[EDGE_MAX_TRIED];
+	uint32_t tried_count;
+	/* Answer of an earlier attempt, used when a repeat fails. */
+	struct strbuf spare;
+	struct strbuf spare_body;
+	int spare_status;
+};
+
+enum mem_state {
+	MEM_ALIVE,
+	MEM_LEAVING,
+};
+
+/* Another VM of the fleet, or this one. */
+struct mem_row {
+	uint64_t key;
+	uint64_t zone;
+	uint64_t region;
+	struct sockaddr_in peer;
+	struct sockaddr_in callers;
+	enum mem_state state;
+	bool ready;
+	/* Distinguishes starts of a VM; larger is newer. */
+	uint64_t incarnation;
+	uint64_t beat;
+	/* Last time this VM was known to be alive. */
+	int64_t heard_ns;
+};
+
+struct edge_ops {
+	/* Answers of the ready, directory and control listeners. */
+	void (*local)(void *ctx, enum dia_port port, const struct hreq *req,
+		      struct dia_reply *reply);
+	/* Starts reading configuration and servers from the store. */
+	enum err (*start)(void *ctx);
+	void (*stop)(void *ctx);
+	void *ctx;
+};
+
+struct edge {
+	struct eset set;
+	struct ev ev;
+	const struct dia *dia;
+	struct edge_ops ops;
+	/* NULL until a version is known. */
+	struct conf *conf;
+	struct tab services;
+	struct tab servers;
+	struct idx server_by_key;
+	struct tab requests;
+	struct tab callers;
+	struct tab links;
+	struct tab members;
+	struct tab calls;
+	struct idx member_by_key;
+	int news_fd;
+	uint64_t zone;
+	uint64_t region;
+	uint64_t self;
+	uint64_t incarnation;
+	uint64_t random_state;
+	/* Servers of the store were read at least once. */
+	bool servers_known;
+	/* Number of the complete reading in progress. */
+	uint32_t read_mark;
+	bool store_up;
+	int64_t store_back_ns;
+	bool leaving;
+	int64_t leave_ns;
+};
+
+/* Key of a name: a zone, a region, a VM or a server; never 0. */
+uint64_t edge_key(struct str name);
+uint64_t edge_random(struct edge *e);
+/* True while new requests of callers are served. */
+bool edge_is_ready(const struct edge *e);
+/* Takes over a configuration unless one as new is in force; owns it. */
+void edge_set_conf(struct edge *e, struct conf *conf);
+/* The store answered or failed to. */
+void edge_set_store(struct edge *e, bool up);
+struct svc_row *edge_service(struct edge *e, uint64_t key);
+
+#endif
--- /dev/null
+++ b/src/edge/edge_run.h
@@ -0,0 +1,17 @@
+#ifndef EDGE_RUN_H
+#define EDGE_RUN_H
+
+#include "edge.h"
+
+struct edge_opts {
+	const struct dia *dialect;
+	struct edge_ops ops;
+};
+
+/*
+ * Runs an edge process, whose settings stand in e->set, until a stop signal.
+ * Returns an exit code; frees what e holds.
+ */
+int edge_run(struct edge *e, const struct edge_opts *opts);
+
+#endif
--- /dev/null
+++ b/src/edge/ev.h
@@ -0,0 +1,63 @@
+#ifndef EV_H
+#define EV_H
+
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "tmr.h"
+
+/*
+ * Event loop of an edge process: one epoll set, the timer service, and a tick
+ * that runs the systems after each batch of events. A file descriptor belongs
+ * to a row of a table; events carry the row's handle, so that an event for a
+ * row that has been deleted finds nothing. Between batches the thread sleeps.
+ */
+enum ev_kind {
+	EV_LISTEN,
+	EV_CALLER,
+	EV_LINK,
+	EV_CALL,
+	EV_NEWS,
+	EV_SIGNAL,
+	EV_KINDS,
+};
+
+typedef void ev_ready_fn(void *ctx, struct hnd row, uint32_t events);
+
+struct ev {
+	int epoll_fd;
+	int signal_fd;
+	struct tmr timers;
+	int64_t now_ns;
+	bool stop;
+	ev_ready_fn *ready[EV_KINDS];
+	void *ready_ctx[EV_KINDS];
+};
+
+struct ev_opts {
+	/* Runs after each batch of events and due timers. */
+	void (*tick)(void *ctx, int64_t now_ns);
+	/* Time of the next tick without an event; TMR_NEVER for none. */
+	int64_t (*next_due)(void *ctx);
+	/* A signal that was passed to ev_catch(). */
+	void (*signal)(void *ctx, int number);
+	void *ctx;
+};
+
+/* ERR_IO when a file descriptor cannot be had. */
+enum err ev_init(struct ev *ev);
+void ev_free(struct ev *ev);
+void ev_on(struct ev *ev, enum ev_kind kind, ev_ready_fn *ready, void *ctx);
+/* The events are those of epoll; ERR_IO when the kernel refuses the fd. */
+enum err ev_add(struct ev *ev, int fd, enum ev_kind kind, struct hnd row,
+		uint32_t events);
+void ev_change(struct ev *ev, int fd, enum ev_kind kind, struct hnd row,
+	       uint32_t events);
+/* Hands a signal to ev_opts.signal on the loop's thread. */
+enum err ev_catch(int number);
+/* Runs until ev->stop is set. */
+void ev_run(struct ev *ev, const struct ev_opts *opts);
+
+#endif
--- /dev/null
+++ b/src/edge/hlth.c
@@ -0,0 +1,156 @@
+#include "hlth.h"
+
+#include <math.h>
+
+#include "ctr.h"
+#include "logs.h"
+#include "news.h"
+
+/* Score from which a server is ejected. */
+#define EJECT_SCORE 1.0
+/* Time constant of the score's decay. */
+#define DECAY_NS (1500 * NS_PER_MS)
+/* What one success of this VM takes off the score. */
+#define SUCCESS_CREDIT 0.2
+/* Successes in a row that return an ejected server. */
+#define RETURN_SUCCESSES 2
+/* Pause between two trials by work that may be repeated. */
+#define TRIAL_NS (350 * NS_PER_MS)
+/* The same by work that runs once at most. */
+#define UNSAFE_TRIAL_NS (2500 * NS_PER_MS)
+/* Spread of the pause, so that VMs do not try at the same moment. */
+#define TRIAL_JITTER_NS (150 * NS_PER_MS)
+
+static const struct outcome {
+	const char *name;
+	/* Added to the score. */
+	double weight;
+} outcomes[HLTH_OUTCOMES] = {
+	[HLTH_SUCCESS] = {"success", 0},
+	[HLTH_ERROR] = {"error", 0.45},
+	[HLTH_BROKEN] = {"broken", 1.0},
+	[HLTH_STALLED] = {"stalled", 1.0},
+	[HLTH_UNREACHABLE] = {"unreachable", 1.0},
+	[HLTH_FULL] = {"full", 0},
+	[HLTH_REPLACED] = {"replaced", 1.0},
+};
+
+const char *hlth_name(enum hlth_outcome outcome)
+{
+	return outcomes[outcome].name;
+}
+
+static void decay(const struct edge *e, struct srv_row *s)
+{
+	int64_t age = e->ev.now_ns - s->score_ns;
+
+	s->score *= exp(-(double)age / (double)DECAY_NS);
+	s->score_ns = e->ev.now_ns;
+}
+
+static void log_change(const struct srv_row *s, const char *event,
+		       enum hlth_outcome outcome, bool own)
+{
+	logs_event(LOGS_INFO, event,
+		   (struct logs_field[]){
+			   LOGS_STR("server", str_from(s->id)),
+			   LOGS_STR("outcome", str_from(hlth_name(outcome))),
+			   LOGS_STR("source", own ? STR("own") : STR("peer")),
+			   LOGS_INT("score_permille", s->score * 1000),
+			   LOGS_INT("in_flight", s->in_flight),
+		   },
+		   5);
+}
+
+static void plan_trial(struct edge *e, struct srv_row *s)
+{
+	s->next_trial_ns = e->ev.now_ns + TRIAL_NS +
+			   (int64_t)(edge_random(e) % TRIAL_JITTER_NS);
+}
+
+static void fail(struct edge *e, struct srv_row *s, enum hlth_outcome outcome,
+		 bool own)
+{
+	decay(e, s);
+	s->score += outcomes[outcome].weight;
+	s->trial_successes = 0;
+	s->last_proof_ns = e->ev.now_ns;
+	if (s->suspect) {
+		s->trial_failures++;
+		plan_trial(e, s);
+		return;
+	}
+	if (s->score < EJECT_SCORE)
+		return;
+	s->suspect = true;
+	s->suspect_ns = e->ev.now_ns;
+	s->trial_failures = 0;
+	plan_trial(e, s);
+	ctr_add(CTR_EJECTIONS, 1);
+	log_change(s, "eject", outcome, own);
+}
+
+static void succeed(struct edge *e, struct srv_row *s, bool own)
+{
+	decay(e, s);
+	if (!s->suspect) {
+		s->score = s->score > SUCCESS_CREDIT ? s->score - SUCCESS_CREDIT
+						     : 0;
+		return;
+	}
+	s->last_proof_ns = e->ev.now_ns;
+	if (++s->trial_successes < RETURN_SUCCESSES) {
+		s->next_trial_ns = e->ev.now_ns;
+		return;
+	}
+	s->suspect = false;
+	s->score = 0;
+	ctr_add(CTR_REINSTATEMENTS, 1);
+	log_change(s, "reinstate", HLTH_SUCCESS, own);
+}
+
+void hlth_note(struct edge *e, struct srv_row *s, enum hlth_outcome outcome)
+{
+	bool was_suspect = s->suspect;
+
+	if (outcome == HLTH_FULL)
+		return;
+	if (outcome == HLTH_SUCCESS)
+		succeed(e, s, true);
+	else
+		fail(e, s, outcome, true);
+	/* Successes are news only while the server is ejected. */
+	if (outcome != HLTH_SUCCESS || was_suspect)
+		news_outcome(e, s, outcome);
+}
+
+void hlth_hear(struct edge *e, struct srv_row *s, enum hlth_outcome outcome)
+{
+	if (outcome == HLTH_SUCCESS)
+		succeed(e, s, false);
+	else
+		fail(e, s, outcome, false);
+}
+
+void hlth_begin_trial(struct edge *e, struct srv_row *s)
+{
+	plan_trial(e, s);
+	news_trial(e, s);
+}
+
+void hlth_hear_trial(struct edge *e, struct srv_row *s)
+{
+	plan_trial(e, s);
+}
+
+bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
+		    enum conf_kind kind)
+{
+	int64_t now = e->ev.now_ns;
+
+	if (!s->suspect || now < s->next_trial_ns)
+		return false;
+	if (kind == CONF_SAFE)
+		return true;
+	return kind == CONF_UNSAFE && now - s->last_proof_ns > UNSAFE_TRIAL_NS;
+}
--- /dev/null
+++ b/src/edge/hlth.h
@@ -0,0 +1,42 @@
+#ifndef HLTH_H
+#define HLTH_H
+
+#include "edge.h"
+
+/*
+ * Health of backend servers, judged from real work. Failures add to a score
+ * that decays; a server whose score passes a threshold is ejected. An ejected
+ * server gets trials, with work that may be repeated where there is any, and
+ * returns after successes in a row. What one VM learns is passed to the VMs
+ * of its region.
+ */
+enum hlth_outcome {
+	HLTH_SUCCESS,
+	/* The server answered with an error of its own. */
+	HLTH_ERROR,
+	/* The connection broke, or the answer was damaged or cut. */
+	HLTH_BROKEN,
+	/* No answer within the request's time. */
+	HLTH_STALLED,
+	/* No connection could be made. */
+	HLTH_UNREACHABLE,
+	/* Refused for lack of room; says nothing about its health. */
+	HLTH_FULL,
+	/* Another server answers at the address. */
+	HLTH_REPLACED,
+	HLTH_OUTCOMES,
+};
+
+const char *hlth_name(enum hlth_outcome outcome);
+/* Outcome of an attempt of this VM. */
+void hlth_note(struct edge *e, struct srv_row *s, enum hlth_outcome outcome);
+/* This VM starts a trial of an ejected server. */
+void hlth_begin_trial(struct edge *e, struct srv_row *s);
+/* News of another VM. */
+void hlth_hear(struct edge *e, struct srv_row *s, enum hlth_outcome outcome);
+void hlth_hear_trial(struct edge *e, struct srv_row *s);
+/* True when a request of the kind may try the ejected server now. */
+bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
+		    enum conf_kind kind);
+
+#endif
--- /dev/null
+++ b/src/edge/news.c
@@ -0,0 +1,337 @@
+#include "news.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "logs.h"
+#include "mem.h"
+#include "mpk.h"
+#include "srv.h"
+
+/* Fits an Ethernet frame with its headers. */
+#define MAX_DATAGRAM 1400
+#define FORMAT 1
+/* Records in a message: the sender's, and others by rotation. */
+#define RECORDS 12
+#define RECORD_FIELDS 10
+/* Datagrams read for one event, so that callers are not kept waiting. */
+#define READ_BATCH 64
+/* VMs that hear from this one in each period, by region. */
+#define NEAR_TARGETS 2
+/* One of so many periods also reaches another region. */
+#define FAR_PERIODS 4
+#define PERIOD_NS NS_PER_S
+/* Period while this VM has heard of nobody. */
+#define LONELY_PERIOD_NS (250 * NS_PER_MS)
+/* Age above which a record is not worth a message. */
+#define MAX_AGE_NS (60 * NS_PER_S)
+
+enum message {
+	NEWS_OUTCOME = 1,
+	NEWS_TRIAL,
+	NEWS_MEMBERS,
+	/* As members, and asks for the receiver's in return. */
+	NEWS_ASK,
+};
+
+struct datagram {
+	char bytes[MAX_DATAGRAM];
+	struct mpk_out out;
+};
+
+static void begin(struct edge *e, struct datagram *d, enum message kind,
+		  uint32_t fields)
+{
+	mpk_out_init(&d->out, d->bytes, sizeof(d->bytes));
+	mpk_put_array(&d->out, fields + 3);
+	mpk_put_uint(&d->out, FORMAT);
+	mpk_put_uint(&d->out, kind);
+	mpk_put_uint(&d->out, e->self);
+}
+
+static void send_to(struct edge *e, const struct datagram *d,
+		    const struct sockaddr_in *to)
+{
+	size_t len = sizeof(d->bytes) - d->out.left;
+
+	if (d->out.full || e->news_fd < 0)
+		return;
+	/* A datagram that the kernel refuses is as good as lost on the way. */
+	if (sendto(e->news_fd, d->bytes, len, MSG_DONTWAIT, (const void *)to,
+		   sizeof(*to)) < 0)
+		logs_msg(LOGS_DEBUG, "news", "datagram not sent: %s",
+			 strerror(errno));
+}
+
+static void send_region(struct edge *e, const struct datagram *d)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->members.len; i++) {
+		const struct mem_row *m = tab_at(&e->members, i);
+
+		if (m->key != e->self && m->region == e->region &&
+		    mem_is_alive(e, m))
+			send_to(e, d, &m->peer);
+	}
+}
+
+void news_outcome(struct edge *e, const struct srv_row *s,
+		  enum hlth_outcome outcome)
+{
+	struct datagram d;
+
+	begin(e, &d, NEWS_OUTCOME, 2);
+	mpk_put_uint(&d.out, s->key);
+	mpk_put_uint(&d.out, outcome);
+	send_region(e, &d);
+}
+
+void news_trial(struct edge *e, const struct srv_row *s)
+{
+	struct datagram d;
+
+	begin(e, &d, NEWS_TRIAL, 1);
+	mpk_put_uint(&d.out, s->key);
+	send_region(e, &d);
+}
+
+static void put_record(struct mpk_out *out, const struct mem_record *r)
+{
+	mpk_put_array(out, RECORD_FIELDS);
+	mpk_put_uint(out, r->key);
+	mpk_put_uint(out, r->zone);
+	mpk_put_uint(out, r->region);
+	mpk_put_uint(out, ntohl(r->peer.sin_addr.s_addr));
+	mpk_put_uint(out, ntohs(r->peer.sin_port));
+	mpk_put_uint(out, r->callers_port);
+	mpk_put_uint(out, (uint64_t)r->leaving << 1 | r->ready);
+	mpk_put_uint(out, r->incarnation);
+	mpk_put_uint(out, r->beat);
+	mpk_put_int(out, r->age_ns / NS_PER_MS);
+}
+
+static void get_record(struct mpk_in *in, struct mem_record *r)
+{
+	uint64_t flags;
+
+	memset(r, 0, sizeof(*r));
+	mpk_get_array(in, RECORD_FIELDS);
+	r->key = mpk_get_uint(in, 1, UINT64_MAX);
+	r->zone = mpk_get_uint(in, 0, UINT64_MAX);
+	r->region = mpk_get_uint(in, 0, UINT64_MAX);
+	r->peer.sin_family = AF_INET;
+	r->peer.sin_addr.s_addr =
+		htonl((uint32_t)mpk_get_uint(in, 0, UINT32_MAX));
+	r->peer.sin_port = htons((uint16_t)mpk_get_uint(in, 1, UINT16_MAX));
+	r->callers_port = (uint16_t)mpk_get_uint(in, 1, UINT16_MAX);
+	flags = mpk_get_uint(in, 0, 3);
+	r->ready = flags & 1;
+	r->leaving = flags >> 1;
+	r->incarnation = mpk_get_uint(in, 0, UINT64_MAX);
+	r->beat = mpk_get_uint(in, 0, UINT64_MAX);
+	r->age_ns = (int64_t)mpk_get_uint(in, 0, MAX_AGE_NS / NS_PER_MS) *
+		    NS_PER_MS;
+}
+
+/* This VM's record and others, from a row that moves on with each message. */
+static void put_members(struct edge *e, struct datagram *d, enum message kind)
+{
+	struct mem_record records[RECORDS];
+	uint32_t i, n = 0, start;
+
+	mem_describe(e, mem_self(e), &records[n++]);
+	start = (uint32_t)(edge_random(e) % e->members.len);
+	for (i = 0; i < e->members.len && n < RECORDS; i++) {
+		const struct mem_row *m =
+			tab_at(&e->members, (start + i) % e->members.len);
+
+		if (m->key == e->self || !mem_is_alive(e, m))
+			continue;
+		mem_describe(e, m, &records[n++]);
+	}
+	begin(e, d, kind, 1);
+	mpk_put_array(&d->out, n);
+	for (i = 0; i < n; i++)
+		put_record(&d->out, &records[i]);
+}
+
+static void ask_seeds(struct edge *e)
+{
+	struct datagram d;
+	size_t i;
+
+	put_members(e, &d, NEWS_ASK);
+	for (i = 0; i < e->set.seed_count; i++) {
+		struct sockaddr_in to = e->set.seeds[i];
+
+		to.sin_port = htons((uint16_t)e->set.peer_port);
+		if (to.sin_addr.s_addr != e->set.address.sin_addr.s_addr)
+			send_to(e, &d, &to);
+	}
+}
+
+static void send_random(struct edge *e, bool near)
+{
+	uint32_t i, len = e->members.len;
+	uint32_t start = (uint32_t)(edge_random(e) % len);
+	struct datagram d;
+
+	for (i = 0; i < len; i++) {
+		const struct mem_row *m =
+			tab_at(&e->members, (start + i) % len);
+
+		if (m->key == e->self || !mem_is_alive(e, m) ||
+		    near != (m->region == e->region))
+			continue;
+		put_members(e, &d, NEWS_MEMBERS);
+		send_to(e, &d, &m->peer);
+		return;
+	}
+}
+
+static void refresh_self(struct edge *e)
+{
+	struct mem_row *self = mem_self(e);
+
+	self->beat++;
+	self->heard_ns = e->ev.now_ns;
+	self->ready = edge_is_ready(e);
+	self->state = e->leaving ? MEM_LEAVING : MEM_ALIVE;
+}
+
+void news_members(struct edge *e, bool urgent)
+{
+	struct datagram d;
+	int i;
+
+	refresh_self(e);
+	if (e->members.len < 2 || !(mem_self(e)->beat % 8))
+		ask_seeds(e);
+	if (urgent) {
+		put_members(e, &d, NEWS_MEMBERS);
+		send_region(e, &d);
+	}
+	for (i = 0; i < NEAR_TARGETS; i++)
+		send_random(e, true);
+	if (urgent || !(edge_random(e) % FAR_PERIODS))
+		send_random(e, false);
+}
+
+static void hear_members(struct edge *e, struct mpk_in *in,
+			 const struct sockaddr_in *from, bool asked)
+{
+	uint32_t i, n = mpk_get_list(in, RECORDS);
+	struct mem_record records[RECORDS];
+	struct datagram d;
+
+	for (i = 0; i < n; i++)
+		get_record(in, &records[i]);
+	if (in->bad)
+		return;
+	for (i = 0; i < n; i++)
+		mem_hear(e, &records[i]);
+	if (!asked)
+		return;
+	/* Two messages carry more of the list to a VM that starts. */
+	refresh_self(e);
+	for (i = 0; i < 2; i++) {
+		put_members(e, &d, NEWS_MEMBERS);
+		send_to(e, &d, from);
+	}
+}
+
+static void hear_server(struct edge *e, struct mpk_in *in, enum message kind)
+{
+	uint64_t key = mpk_get_uint(in, 1, UINT64_MAX);
+	enum hlth_outcome outcome = kind == NEWS_OUTCOME
+					    ? (enum hlth_outcome)mpk_get_uint(
+						      in, 0, HLTH_OUTCOMES - 1)
+					    : HLTH_SUCCESS;
+	struct srv_row *s = srv_find(e, key, NULL);
+
+	if (in->bad || !s)
+		return;
+	if (kind == NEWS_OUTCOME)
+		hlth_hear(e, s, outcome);
+	else
+		hlth_hear_trial(e, s);
+}
+
+static void hear(struct edge *e, struct str bytes,
+		 const struct sockaddr_in *from)
+{
+	struct mpk_in in;
+	uint64_t kind;
+
+	mpk_in_init(&in, bytes);
+	mpk_get_list(&in, 5);
+	if (mpk_get_uint(&in, 0, UINT64_MAX) != FORMAT)
+		return;
+	kind = mpk_get_uint(&in, NEWS_OUTCOME, NEWS_ASK);
+	if (mpk_get_uint(&in, 0, UINT64_MAX) == e->self || in.bad)
+		return;
+	if (kind == NEWS_MEMBERS || kind == NEWS_ASK)
+		hear_members(e, &in, from, kind == NEWS_ASK);
+	else
+		hear_server(e, &in, (enum message)kind);
+	if (in.bad)
+		logs_msg(LOGS_WARNING, "news", "malformed datagram");
+}
+
+static void on_ready(void *ctx, struct hnd row, uint32_t events)
+{
+	struct edge *e = ctx;
+	int i;
+
+	for (i = 0; i < READ_BATCH; i++) {
+		char bytes[MAX_DATAGRAM];
+		struct sockaddr_in from;
+		socklen_t size = sizeof(from);
+		ssize_t n = recvfrom(e->news_fd, bytes, sizeof(bytes),
+				     MSG_DONTWAIT, (void *)&from, &size);
+
+		if (n < 0)
+			return;
+		hear(e, (struct str){bytes, (size_t)n}, &from);
+	}
+}
+
+static void on_period(void *ctx, int64_t now_ns)
+{
+	struct edge *e = ctx;
+	bool lonely = e->members.len < 2 && e->set.seed_count > 1;
+
+	news_members(e, false);
+	mem_expire(e);
+	tmr_subscribe(&e->ev.timers,
+		      &(struct tmr_opts){
+			      .due_ns = now_ns +
+					(lonely ? LONELY_PERIOD_NS : PERIOD_NS),
+			      .fire = on_period,
+			      .ctx = e,
+		      });
+}
+
+enum err news_start(struct edge *e)
+{
+	e->news_fd =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (e->news_fd < 0)
+		return ERR_IO;
+	if (bind(e->news_fd, (void *)&e->set.address, sizeof(e->set.address)))
+		return ERR_IO;
+	ev_on(&e->ev, EV_NEWS, on_ready, e);
+	on_period(e, e->ev.now_ns);
+	return ev_add(&e->ev, e->news_fd, EV_NEWS, HND_NONE, EPOLLIN);
+}
+
+void news_stop(struct edge *e)
+{
+	if (e->news_fd >= 0)
+		close(e->news_fd);
+	e->news_fd = -1;
+}
--- /dev/null
+++ b/src/edge/news.h
@@ -0,0 +1,20 @@
+#ifndef NEWS_H
+#define NEWS_H
+
+#include "hlth.h"
+
+/*
+ * Messages between edge VMs: one UDP datagram each, encoded with MessagePack.
+ * Nothing depends on a single one: health news is a hint that own work would
+ * give later, and membership is repeated.
+ */
+enum err news_start(struct edge *e);
+void news_stop(struct edge *e);
+/* Tells the VMs of the region about an attempt at a server. */
+void news_outcome(struct edge *e, const struct srv_row *s,
+		  enum hlth_outcome outcome);
+void news_trial(struct edge *e, const struct srv_row *s);
+/* Sends this VM's record to some others; all when it is urgent. */
+void news_members(struct edge *e, bool urgent);
+
+#endif
--- /dev/null
+++ b/src/edge/pick.c
@@ -0,0 +1,155 @@
+#include "pick.h"
+
+#include "hlth.h"
+
+/*
+ * Costs in thousandths of the worth of a request. Bytes between zones and
+ * regions and new connections are what the users pay for; waiting behind
+ * other work costs the answer's worth.
+ */
+#define ZONE_COST_PER_KB 6
+#define REGION_COST_PER_KB 41
+/* Typical answer, added to the size of the request. */
+#define ANSWER_KB 5
+#define CONNECT_COST 40
+/* One more request of this VM at the same server. */
+#define IN_FLIGHT_COST 60
+#define WARM_UP_COST 300
+/* An ejected server that the floor keeps in use. */
+#define SUSPECT_COST 2000
+/* Spreads the first choices of VMs with the same view. */
+#define JITTER 20
+
+struct view {
+	struct edge *e;
+	const struct req_row *req;
+	bool below_floor;
+};
+
+static bool was_tried(const struct req_row *req, uint64_t key)
+{
+	uint32_t i;
+
+	for (i = 0; i < req->tried_count; i++)
+		if (req->tried[i] == key)
+			return true;
+	return false;
+}
+
+static int64_t distance_cost(const struct view *v, const struct srv_row *s)
+{
+	int64_t kb = ANSWER_KB + (int64_t)(v->req->length >> 10);
+
+	if (s->zone == v->e->zone)
+		return 0;
+	if (s->region == v->e->region)
+		return kb * ZONE_COST_PER_KB;
+	return kb * REGION_COST_PER_KB;
+}
+
+static int64_t cost(const struct view *v, const struct srv_row *s)
+{
+	int64_t c = distance_cost(v, s);
+
+	c += (int64_t)s->in_flight * IN_FLIGHT_COST;
+	if (!s->idle_links)
+		c += CONNECT_COST;
+	if (s->warm_until_ns > v->e->ev.now_ns)
+		c += WARM_UP_COST;
+	if (s->suspect)
+		c += SUSPECT_COST;
+	return c + (int64_t)(edge_random(v->e) % JITTER);
+}
+
+static bool is_below_floor(const struct edge *e, uint64_t service)
+{
+	uint32_t i, listed = 0, in_use = 0;
+
+	for (i = 0; i < e->servers.len; i++) {
+		const struct srv_row *s = tab_at(&e->servers, i);
+
+		if (s->service != service || s->state != SRV_READY)
+			continue;
+		listed += s->slots;
+		in_use += s->suspect ? 0 : s->slots;
+	}
+	return (int64_t)in_use * 1000 < e->set.floor_permille * listed;
+}
+
+/* Returns the row of the best server, or -1. */
+static int64_t find_best(const struct view *v, struct pick *out)
+{
+	int64_t best = -1, best_cost = 0;
+	uint32_t i;
+
+	for (i = 0; i < v->e->servers.len; i++) {
+		struct srv_row *s = tab_at(&v->e->servers, i);
+		int64_t c;
+
+		if (s->service != v->req->service || s->state != SRV_READY ||
+		    was_tried(v->req, s->key))
+			continue;
+		if (s->suspect && !v->below_floor)
+			continue;
+		if (s->full_until_ns > v->e->ev.now_ns) {
+			out->result = PICK_FULL;
+			if (!out->retry_ns || s->full_until_ns < out->retry_ns)
+				out->retry_ns = s->full_until_ns;
+			continue;
+		}
+		c = cost(v, s);
+		if (best < 0 || c < best_cost) {
+			best = i;
+			best_cost = c;
+		}
+	}
+	return best;
+}
+
+/* An ejected server, near ones first, whose trial is due. */
+static int64_t find_trial(const struct view *v)
+{
+	int64_t best = -1, best_cost = 0;
+	uint32_t i;
+
+	if (v->req->sends || v->req->attempts < 2)
+		return -1;
+	for (i = 0; i < v->e->servers.len; i++) {
+		const struct srv_row *s = tab_at(&v->e->servers, i);
+		int64_t c;
+
+		if (s->service != v->req->service || s->state != SRV_READY ||
+		    s->region != v->e->region || was_tried(v->req, s->key) ||
+		    !hlth_trial_due(v->e, s, v->req->kind))
+			continue;
+		c = s->next_trial_ns;
+		if (best < 0 || c < best_cost) {
+			best = i;
+			best_cost = c;
+		}
+	}
+	return best;
+}
+
+struct pick pick_server(struct edge *e, const struct req_row *req)
+{
+	struct view v = {.e = e, .req = req};
+	struct pick out = {.result = PICK_NONE};
+	int64_t row;
+
+	row = find_trial(&v);
+	if (row >= 0) {
+		out.result = PICK_FOUND;
+		out.server = tab_handle(&e->servers, (uint32_t)row);
+		out.trial = true;
+		return out;
+	}
+	/* The floor holds also where every server is suspected. */
+	v.below_floor = is_below_floor(e, req->service);
+	row = find_best(&v, &out);
+	if (row < 0)
+		return out;
+	out.result = PICK_FOUND;
+	out.server = tab_handle(&e->servers, (uint32_t)row);
+	return out;
+}
--- /dev/null
+++ b/src/edge/srv.c
@@ -0,0 +1,157 @@
+#include "srv.h"
+
+#include <string.h>
+
+#include "logs.h"
+
+/* Time for entries that lapsed while the store was away to come back. */
+#define RETURN_NS (2200 * NS_PER_MS)
+
+struct srv_row *srv_find(struct edge *e, uint64_t key, struct hnd *handle)
+{
+	struct hnd h = idx_get(&e->server_by_key, key);
+
+	if (handle)
+		*handle = h;
+	return tab_get(&e->servers, h);
+}
+
+static void log_server(const struct srv_row *s, const char *change)
+{
+	logs_event(LOGS_INFO, "server",
+		   (struct logs_field[]){
+			   LOGS_STR("change", str_from(change)),
+			   LOGS_STR("server", str_from(s->id)),
+			   LOGS_INT("version", s->version),
+			   LOGS_INT("in_flight", s->in_flight),
+		   },
+		   4);
+}
+
+static struct srv_row *add(struct edge *e, const struct srv_report *r)
+{
+	uint64_t key = edge_key(r->id);
+	struct hnd h;
+	void *row;
+	struct srv_row *s;
+
+	h = tab_add(&e->servers, &row);
+	s = row;
+	str_copy(s->id, sizeof(s->id), r->id);
+	s->key = key;
+	s->joined_ns = e->ev.now_ns;
+	s->read_mark = e->read_mark;
+	idx_put(&e->server_by_key, key, h);
+	return s;
+}
+
+/* A new start under the same id knows nothing of before. */
+static void reset_health(struct srv_row *s)
+{
+	s->suspect = false;
+	s->score = 0;
+	s->trial_successes = 0;
+	s->trial_failures = 0;
+	s->full_until_ns = 0;
+}
+
+void srv_report(struct edge *e, const struct srv_report *r)
+{
+	struct srv_row *s = srv_find(e, edge_key(r->id), NULL);
+	enum srv_state state = r->draining ? SRV_DRAINING : SRV_READY;
+	bool added = !s;
+
+	if (s)
+		s->read_mark = e->read_mark;
+	if (s && r->version < s->version)
+		return;
+	if (!s)
+		s = add(e, r);
+	if (!added && r->born_ms != s->born_ms) {
+		log_server(s, "restarted");
+		reset_health(s);
+		s->joined_ns = e->ev.now_ns;
+	}
+	if (added || s->state != state) {
+		s->version = r->version;
+		log_server(s, added ? "listed"
+				    : (r->draining ? "draining" : "ready"));
+	}
+	s->service = conf_service_key(r->service);
+	s->zone = edge_key(r->zone);
+	s->region = edge_key(eset_region(&e->set, r->zone));
+	s->addr = r->addr;
+	s->slots = r->slots;
+	s->state = state;
+	s->born_ms = r->born_ms;
+	s->seq = r->seq;
+	s->version = r->version;
+	s->warm_until_ns = e->ev.now_ns + r->warm_left_ns;
+	s->missing_until_ns = 0;
+	edge_service(e, s->service);
+}
+
+static void set_missing(struct edge *e, struct srv_row *s)
+{
+	int64_t back = e->store_back_ns + RETURN_NS;
+
+	if (s->state == SRV_GONE || s->missing_until_ns)
+		return;
+	s->missing_until_ns = e->ev.now_ns < back ? back : e->ev.now_ns;
+	log_server(s, "missing");
+}
+
+void srv_missing(struct edge *e, struct str id, uint64_t version)
+{
+	struct srv_row *s = srv_find(e, edge_key(id), NULL);
+
+	if (!s || version < s->version)
+		return;
+	s->version = version;
+	set_missing(e, s);
+}
+
+void srv_end_full_read(struct edge *e, uint64_t version)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->servers.len; i++) {
+		struct srv_row *s = tab_at(&e->servers, i);
+
+		if (s->read_mark != e->read_mark && s->version <= version)
+			set_missing(e, s);
+	}
+}
+
+void srv_tick(struct edge *e, int64_t now_ns)
+{
+	uint32_t i = e->servers.len;
+
+	while (i-- > 0) {
+		struct srv_row *s = tab_at(&e->servers, i);
+
+		if (s->missing_until_ns && s->missing_until_ns <= now_ns) {
+			s->state = SRV_GONE;
+			s->missing_until_ns = 0;
+			log_server(s, "gone");
+		}
+		if (s->state != SRV_GONE || s->in_flight || s->idle_links)
+			continue;
+		idx_del(&e->server_by_key, s->key);
+		tab_del(&e->servers, tab_handle(&e->servers, i));
+	}
+}
+
+int64_t srv_next_due(const struct edge *e)
+{
+	int64_t due = TMR_NEVER;
+	uint32_t i;
+
+	for (i = 0; i < e->servers.len; i++) {
+		const struct srv_row *s = tab_at(&e->servers, i);
+
+		if (s->missing_until_ns && s->missing_until_ns < due)
+			due = s->missing_until_ns;
+	}
+	return due;
+}
--- /dev/null
+++ b/src/edge/srv.h
@@ -0,0 +1,34 @@
+#ifndef SRV_H
+#define SRV_H
+
+#include "edge.h"
+
+/* What the store says of a backend server. */
+struct srv_report {
+	struct str id;
+	struct str service;
+	struct str zone;
+	struct sockaddr_in addr;
+	uint32_t slots;
+	bool draining;
+	uint64_t seq;
+	/* Unix milliseconds of the server's start. */
+	int64_t born_ms;
+	/* How much longer the server stays slow after its start. */
+	int64_t warm_left_ns;
+	/* Version of the row in the store; larger is newer. */
+	uint64_t version;
+};
+
+/* Adds or updates a server; an older version than the known one is ignored. */
+void srv_report(struct edge *e, const struct srv_report *r);
+/* The store no longer lists the server. */
+void srv_missing(struct edge *e, struct str id, uint64_t version);
+/* A complete reading as of a version ends: servers not in it are missing. */
+void srv_end_full_read(struct edge *e, uint64_t version);
+struct srv_row *srv_find(struct edge *e, uint64_t key, struct hnd *handle);
+/* Removes servers that are gone and have no work left. */
+void srv_tick(struct edge *e, int64_t now_ns);
+int64_t srv_next_due(const struct edge *e);
+
+#endif
--- a/src/logs.c
+++ b/src/logs.c
@@ -11,6 +11,7 @@
 static enum logs_level max_level = LOGS_INFO;
 static char vm_name[64];
 static bool installed;
+static int out_fd = STDERR_FILENO;
 
 static const GLogLevelFlags glib_level[] = {
 	[LOGS_ERROR] = G_LOG_LEVEL_CRITICAL,
@@ -105,7 +106,7 @@
 		if (!is_glib_field(fields[i].key))
 			add_field(&line, &fields[i]);
 	strbuf_add(&line, STR("}\n"));
-	written = write(STDERR_FILENO, line.ptr, line.len);
+	written = write(out_fd, line.ptr, line.len);
 	strbuf_free(&line);
 	return written < 0 ? G_LOG_WRITER_UNHANDLED : G_LOG_WRITER_HANDLED;
 }
@@ -115,6 +116,7 @@
 	struct strbuf escaped;
 
 	max_level = opts->level;
+	out_fd = opts->to_stdout ? STDOUT_FILENO : STDERR_FILENO;
 	strbuf_init(&escaped);
 	logs_add_json(&escaped, opts->vm);
 	str_copy(vm_name, sizeof(vm_name), strbuf_view(&escaped));
--- a/src/logs.h
+++ b/src/logs.h
@@ -34,9 +34,11 @@
 	enum logs_level level;
 	/* Name of this VM, repeated in each line. */
 	struct str vm;
+	/* Lines go to standard output instead of standard error. */
+	bool to_stdout;
 };
 
-/* Installs a GLib log writer that prints one JSON object a line to stderr. */
+/* Installs a GLib log writer that prints one JSON object a line. */
 void logs_setup(const struct logs_opts *opts);
 /* Event is a short fixed name such as "route" or "eject". */
 void logs_event(enum logs_level level, const char *event,
--- a/src/main.c
+++ b/src/main.c
@@ -9,6 +9,7 @@
 #include "cmda.h"
 #include "ent.h"
 #include "exits.h"
+#include "pf_run.h"
 #include "sig.h"
 
 #define VERSION "0.1.0"
@@ -29,6 +30,22 @@
 	return code;
 }
 
+static int cmd_edge(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_file *file =
+		arg_file1("s", "settings", "FILE", "settings of this edge VM");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, file, end};
+	struct cmda args = {"edge", table, help, end};
+	int code = cmda_parse(&args, argc, argv);
+
+	if (code < 0)
+		code = pf_run(str_from(file->filename[0]));
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
+
 struct command {
 	const char *name;
 	int (*run)(int argc, char **argv);
@@ -37,6 +54,7 @@
 
 static const struct command commands[] = {
 	{"entry", cmd_entry, "run an entry VM"},
+	{"edge", cmd_edge, "run an edge VM on the users' platform"},
 	{"peerkey", cmd_peerkey, "make a key pair for messages between VMs"},
 	{"bundle", cmd_bundle, "check, sign, submit and show bundles"},
 	{"stop", cmd_stop, "stop a VM or drain a backend server"},
