Read the store by rank and pass changes on in notices

Now the first VM of a region by link and key reads, the others hear notices, fetch gaps from a VM of their region, and read for themselves when they hear nothing.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -73,6 +73,18 @@
 	strbuf_free(&body);
 }
 
+void call_retarget(struct edge *e, struct hnd row,
+		   const struct sockaddr_in *addr)
+{
+	struct call_row *c = get(e, row);
+
+	if (c->addr.sin_addr.s_addr == addr->sin_addr.s_addr &&
+	    c->addr.sin_port == addr->sin_port)
+		return;
+	disconnect(c);
+	c->addr = *addr;
+}
+
 static void set_options(int fd)
 {
 	int one = 1, idle = KEEPALIVE_IDLE_S, interval = KEEPALIVE_INTERVAL_S;
--- /dev/null
+++ b/src/edge/cdc.c
@@ -0,0 +1,274 @@
+#include "cdc.h"
+
+#include <string.h>
+
+#include "sync.h"
+
+#define FORMAT 1
+#define ROW_FIELDS 12
+#define ROUTE_FIELDS 9
+#define SERVICE_FIELDS 3
+#define STATE_FIELDS 5
+#define CONF_FIELDS 7
+/* Bounds on what a message may claim to hold. */
+#define MAX_ROWS 200000
+#define MAX_ROUTES 100000
+#define MAX_SERVICES 20000
+#define MAX_PARTS 256
+#define MAX_NAME 1024
+/* Encoded sizes, for the buffer: fixed members and short names. */
+#define ROW_BYTES 192
+#define ROUTE_BYTES 160
+#define PART_BYTES 16
+#define SERVICE_BYTES 128
+#define STATE_BYTES 256
+
+void cdc_put_row(struct mpk_out *out, const struct cdc_row *row)
+{
+	const struct srv_report *r = &row->report;
+
+	mpk_put_array(out, ROW_FIELDS);
+	mpk_put_str(out, r->id);
+	mpk_put_uint(out, r->version);
+	mpk_put_uint(out, row->missing);
+	mpk_put_uint(out, r->service);
+	mpk_put_uint(out, r->zone);
+	mpk_put_uint(out, ntohl(r->addr.sin_addr.s_addr));
+	mpk_put_uint(out, ntohs(r->addr.sin_port));
+	mpk_put_uint(out, r->slots);
+	mpk_put_uint(out, r->draining);
+	mpk_put_uint(out, r->seq);
+	mpk_put_int(out, r->born_ms);
+	mpk_put_int(out, r->warm_left_ns / NS_PER_MS);
+}
+
+void cdc_get_row(struct mpk_in *in, struct cdc_row *row)
+{
+	struct srv_report *r = &row->report;
+
+	memset(row, 0, sizeof(*row));
+	mpk_get_array(in, ROW_FIELDS);
+	r->id = mpk_get_str(in, EDGE_ID_BYTES - 1);
+	r->version = mpk_get_uint(in, 0, UINT64_MAX);
+	row->missing = mpk_get_uint(in, 0, 1);
+	r->service = mpk_get_uint(in, 0, UINT64_MAX);
+	r->zone = mpk_get_uint(in, 0, UINT64_MAX);
+	r->addr.sin_family = AF_INET;
+	r->addr.sin_addr.s_addr =
+		htonl((uint32_t)mpk_get_uint(in, 0, UINT32_MAX));
+	r->addr.sin_port = htons((uint16_t)mpk_get_uint(in, 0, UINT16_MAX));
+	r->slots = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	r->draining = mpk_get_uint(in, 0, 1);
+	r->seq = mpk_get_uint(in, 0, UINT64_MAX);
+	r->born_ms = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
+	r->warm_left_ns = (int64_t)mpk_get_uint(in, 0, UINT32_MAX) * NS_PER_MS;
+}
+
+void cdc_describe(const struct edge *e, const struct srv_row *s,
+		  struct cdc_row *row)
+{
+	int64_t warm = s->warm_until_ns - e->ev.now_ns;
+
+	row->missing = s->state == SRV_GONE || s->missing_until_ns;
+	row->report = (struct srv_report){
+		.id = str_from(s->id),
+		.service = s->service,
+		.zone = s->zone,
+		.addr = s->addr,
+		.slots = s->slots,
+		.draining = s->state == SRV_DRAINING,
+		.seq = s->seq,
+		.born_ms = s->born_ms,
+		.warm_left_ns = warm > 0 ? warm : 0,
+		.version = s->version,
+	};
+}
+
+void cdc_apply(struct edge *e, const struct cdc_row *row)
+{
+	if (row->missing)
+		srv_missing(e, row->report.id, row->report.version);
+	else
+		srv_report(e, &row->report);
+}
+
+static void put_route(struct mpk_out *out, const struct conf *c,
+		      const struct conf_route *r)
+{
+	uint32_t i;
+
+	mpk_put_array(out, ROUTE_FIELDS);
+	mpk_put_str(out, r->name);
+	mpk_put_str(out, r->host);
+	mpk_put_str(out, r->prefix);
+	mpk_put_uint(out, r->kind);
+	mpk_put_int(out, r->timeout_ns);
+	mpk_put_int(out, r->objective_ns);
+	mpk_put_uint(out, r->attempts);
+	mpk_put_uint(out, r->priority);
+	mpk_put_array(out, r->part_count * 2);
+	for (i = 0; i < r->part_count; i++) {
+		mpk_put_uint(out, c->parts[r->part_first + i].service);
+		mpk_put_uint(out, c->parts[r->part_first + i].weight);
+	}
+}
+
+static void get_route(struct mpk_in *in, struct conf *c)
+{
+	struct conf_part parts[MAX_PARTS];
+	struct conf_route r = {.name = STR_NONE};
+	uint32_t i, count;
+
+	mpk_get_array(in, ROUTE_FIELDS);
+	r.name = mpk_get_str(in, MAX_NAME);
+	r.host = mpk_get_str(in, MAX_NAME);
+	r.prefix = mpk_get_str(in, MAX_NAME);
+	r.kind = (enum conf_kind)mpk_get_uint(in, 0, CONF_UPLOAD);
+	r.timeout_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
+	r.objective_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
+	r.attempts = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	r.priority = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	count = mpk_get_list(in, MAX_PARTS * 2) / 2;
+	for (i = 0; i < count; i++) {
+		parts[i].service = mpk_get_uint(in, 0, UINT64_MAX);
+		parts[i].weight = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	}
+	if (!in->bad)
+		conf_add_route(c, &r, parts, count);
+}
+
+static void put_conf(struct mpk_out *out, const struct conf *c)
+{
+	uint32_t i;
+
+	mpk_put_array(out, CONF_FIELDS);
+	mpk_put_uint(out, c->version);
+	mpk_put_uint(out, c->limits.max_head_bytes);
+	mpk_put_uint(out, c->limits.max_body_bytes);
+	mpk_put_int(out, c->limits.head_timeout_ns);
+	mpk_put_int(out, c->limits.idle_timeout_ns);
+	mpk_put_array(out, c->service_count);
+	for (i = 0; i < c->service_count; i++) {
+		mpk_put_array(out, SERVICE_FIELDS);
+		mpk_put_str(out, c->services[i].name);
+		mpk_put_str(out, c->services[i].health_path);
+		mpk_put_uint(out, c->services[i].max_conns);
+	}
+	mpk_put_array(out, c->route_count);
+	for (i = 0; i < c->route_count; i++)
+		put_route(out, c, &c->routes[i]);
+}
+
+static struct conf *get_conf(struct mpk_in *in)
+{
+	struct conf *c = conf_new();
+	uint32_t i, n;
+
+	mpk_get_array(in, CONF_FIELDS);
+	c->version = mpk_get_uint(in, 0, UINT64_MAX);
+	c->limits.max_head_bytes = mpk_get_uint(in, 0, UINT64_MAX);
+	c->limits.max_body_bytes = mpk_get_uint(in, 0, UINT64_MAX);
+	c->limits.head_timeout_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
+	c->limits.idle_timeout_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
+	n = mpk_get_list(in, MAX_SERVICES);
+	for (i = 0; i < n && !in->bad; i++) {
+		struct conf_service s = {.name = STR_NONE};
+
+		mpk_get_array(in, SERVICE_FIELDS);
+		s.name = mpk_get_str(in, MAX_NAME);
+		s.health_path = mpk_get_str(in, MAX_NAME);
+		s.max_conns = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+		conf_add_service(c, &s);
+	}
+	n = mpk_get_list(in, MAX_ROUTES);
+	for (i = 0; i < n && !in->bad; i++)
+		get_route(in, c);
+	if (!in->bad)
+		return c;
+	conf_free(c);
+	return NULL;
+}
+
+static size_t state_size(const struct edge *e)
+{
+	size_t size = STATE_BYTES + (size_t)e->servers.len * ROW_BYTES;
+	uint32_t i;
+
+	if (!e->conf)
+		return size;
+	for (i = 0; i < e->conf->route_count; i++) {
+		const struct conf_route *r = &e->conf->routes[i];
+
+		size += ROUTE_BYTES + r->name.len + r->host.len +
+			r->prefix.len + (size_t)r->part_count * PART_BYTES;
+	}
+	for (i = 0; i < e->conf->service_count; i++)
+		size += SERVICE_BYTES + e->conf->services[i].name.len +
+			e->conf->services[i].health_path.len;
+	return size;
+}
+
+void cdc_write_state(const struct edge *e, uint64_t asker_config,
+		     struct strbuf *out)
+{
+	size_t size = state_size(e);
+	struct mpk_out w;
+	uint32_t i;
+
+	strbuf_grow(out, size);
+	mpk_out_init(&w, out->ptr + out->len, size);
+	mpk_put_array(&w, STATE_FIELDS);
+	mpk_put_uint(&w, FORMAT);
+	if (e->conf && e->conf->version > asker_config)
+		put_conf(&w, e->conf);
+	else
+		mpk_put_nil(&w);
+	mpk_put_uint(&w, e->sync.config_version);
+	mpk_put_uint(&w, e->sync.servers_version);
+	mpk_put_array(&w, e->servers.len);
+	for (i = 0; i < e->servers.len; i++) {
+		struct cdc_row row;
+
+		cdc_describe(e, tab_at(&e->servers, i), &row);
+		cdc_put_row(&w, &row);
+	}
+	out->len += size - w.left;
+}
+
+enum err cdc_read_state(struct edge *e, struct str bytes)
+{
+	struct conf *conf = NULL;
+	uint64_t config_version, servers_version;
+	struct mpk_in in;
+	uint32_t i, n;
+
+	mpk_in_init(&in, bytes);
+	mpk_get_array(&in, STATE_FIELDS);
+	if (mpk_get_uint(&in, FORMAT, FORMAT) != FORMAT)
+		return ERR_INVALID;
+	if (!mpk_skip_nil(&in))
+		conf = get_conf(&in);
+	config_version = mpk_get_uint(&in, 0, UINT64_MAX);
+	servers_version = mpk_get_uint(&in, 0, UINT64_MAX);
+	n = mpk_get_list(&in, MAX_ROWS);
+	if (in.bad) {
+		conf_free(conf);
+		return ERR_INVALID;
+	}
+	if (conf)
+		edge_set_conf(e, conf);
+	if (servers_version < e->sync.servers_version)
+		return ERR_OK;
+	e->read_mark++;
+	for (i = 0; i < n; i++) {
+		struct cdc_row row;
+
+		cdc_get_row(&in, &row);
+		if (in.bad)
+			return ERR_INVALID;
+		cdc_apply(e, &row);
+	}
+	srv_end_full_read(e, servers_version);
+	sync_set_versions(e, config_version, servers_version);
+	return ERR_OK;
+}
--- a/src/edge/cin.c
+++ b/src/edge/cin.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "ctl.h"
 #include "ctr.h"
 #include "logs.h"
 #include "req.h"
@@ -264,7 +265,10 @@
 				  .content_type = "application/json"};
 
 	strbuf_init(&reply.body);
-	e->ops.local(e->ops.ctx, c->port, head, &reply);
+	if (c->port == DIA_CONTROL)
+		ctl_answer(e, head, &reply);
+	else
+		e->ops.local(e->ops.ctx, c->port, head, &reply);
 	answer(e, c, h, reply.status, reply.content_type,
 	       strbuf_view(&reply.body), 0);
 	strbuf_free(&reply.body);
--- /dev/null
+++ b/src/edge/ctl.c
@@ -0,0 +1,61 @@
+#include "ctl.h"
+
+#include "cdc.h"
+#include "ctr.h"
+#include "logs.h"
+#include "mem.h"
+#include "sync.h"
+
+static void write_status(struct edge *e, struct strbuf *out)
+{
+	uint32_t i;
+
+	strbuf_add(out, STR("{\"vm\":\""));
+	logs_add_json(out, e->set.id);
+	strbuf_addf(out,
+		    "\",\"ready\":%s,\"leaving\":%s,\"config\":%llu,"
+		    "\"members\":%u,\"rank\":%u,\"requests\":%u,"
+		    "\"servers\":[",
+		    edge_is_ready(e) ? "true" : "false",
+		    e->leaving ? "true" : "false",
+		    (unsigned long long)(e->conf ? e->conf->version : 0),
+		    mem_alive(e), sync_rank(e), e->requests.len);
+	for (i = 0; i < e->servers.len; i++) {
+		const struct srv_row *s = tab_at(&e->servers, i);
+		static const char *const states[] = {"ready", "draining",
+						     "gone"};
+
+		strbuf_add(out, i ? STR(",{\"id\":\"") : STR("{\"id\":\""));
+		logs_add_json(out, str_from(s->id));
+		strbuf_addf(out,
+			    "\",\"state\":\"%s\",\"ejected\":%s,"
+			    "\"in_flight\":%u}",
+			    states[s->state], s->suspect ? "true" : "false",
+			    s->in_flight);
+	}
+	strbuf_add(out, STR("]}"));
+}
+
+static uint64_t config_arg(struct str target)
+{
+	uint64_t version;
+
+	str_split(&target, '=');
+	return str_parse_u64(target, &version) ? version : 0;
+}
+
+void ctl_answer(struct edge *e, const struct hreq *req, struct dia_reply *reply)
+{
+	reply->status = 200;
+	if (str_eq(req->path, STR("/state")) && edge_has_state(e)) {
+		reply->content_type = "application/msgpack";
+		cdc_write_state(e, config_arg(req->target), &reply->body);
+	} else if (str_eq(req->path, STR("/metrics"))) {
+		reply->content_type = "text/plain; version=0.0.4";
+		ctr_write(&reply->body);
+	} else if (str_eq(req->path, STR("/status"))) {
+		write_status(e, &reply->body);
+	} else {
+		reply->status = str_eq(req->path, STR("/state")) ? 503 : 404;
+	}
+}
--- /dev/null
+++ b/src/edge/ctl.h
@@ -0,0 +1,13 @@
+#ifndef CTL_H
+#define CTL_H
+
+#include "edge.h"
+
+/*
+ * Control listener: GET /state for other VMs (MessagePack, see cdc.h),
+ * GET /metrics (Prometheus text) and GET /status (JSON) for operators.
+ */
+void ctl_answer(struct edge *e, const struct hreq *req,
+		struct dia_reply *reply);
+
+#endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -19,11 +19,14 @@
 
 /* Pause between two looks at idle connections. */
 #define EXPIRE_PERIOD_NS (500 * NS_PER_MS)
+/* Failures for this long are an outage, in which entries may have lapsed. */
+#define OUTAGE_NS (2 * NS_PER_S)
 /* Before the platform ends the process by force. */
-#define GRACE_MARGIN_NS (400 * NS_PER_MS)
+#define GRACE_MARGIN_NS (150 * NS_PER_MS)
 /* Share of the grace time in which new requests are still taken, in
- * thousandths: callers keep addresses for a while. */
-#define LEAVE_ACCEPT_SHARE 500
+ * thousandths: callers keep addresses for a while, and what is taken must end
+ * in the rest. */
+#define LEAVE_ACCEPT_SHARE 400
 
 uint64_t edge_key(struct str name)
 {
@@ -44,9 +47,14 @@
 	return x * UINT64_C(2685821657736338717);
 }
 
+bool edge_has_state(const struct edge *e)
+{
+	return e->conf && e->servers_known;
+}
+
 bool edge_is_ready(const struct edge *e)
 {
-	return e->conf && e->servers_known && !e->leaving;
+	return edge_has_state(e) && !e->leaving;
 }
 
 void edge_set_conf(struct edge *e, struct conf *conf)
@@ -69,9 +77,15 @@
 
 void edge_set_store(struct edge *e, bool up)
 {
-	if (up && !e->store_up)
-		e->store_back_ns = e->ev.now_ns;
-	e->store_up = up;
+	int64_t now = e->ev.now_ns;
+
+	if (!up && !e->store_lost_ns)
+		e->store_lost_ns = now;
+	if (!up)
+		return;
+	if (e->store_lost_ns && now - e->store_lost_ns >= OUTAGE_NS)
+		e->store_back_ns = now;
+	e->store_lost_ns = 0;
 }
 
 struct svc_row *edge_service(struct edge *e, uint64_t key)
@@ -91,14 +105,18 @@
 	return s;
 }
 
-static bool is_drained(const struct edge *e)
+bool edge_takes_requests(const struct edge *e)
 {
-	int64_t since = e->ev.now_ns - e->leave_ns;
+	return !e->leaving ||
+	       e->ev.now_ns - e->leave_ns <
+		       e->set.grace_ns * LEAVE_ACCEPT_SHARE / 1000;
+}
 
-	if (since >= e->set.grace_ns - GRACE_MARGIN_NS)
+static bool is_drained(const struct edge *e)
+{
+	if (e->ev.now_ns - e->leave_ns >= e->set.grace_ns - GRACE_MARGIN_NS)
 		return true;
-	return since >= e->set.grace_ns * LEAVE_ACCEPT_SHARE / 1000 &&
-	       !e->requests.len;
+	return !edge_takes_requests(e) && !e->requests.len;
 }
 
 /* The systems, in the order that docs/design.md gives. */
@@ -114,8 +132,7 @@
 	cin_sweep(e);
 	if (!e->leaving)
 		return;
-	if (e->ev.now_ns - e->leave_ns >=
-	    e->set.grace_ns * LEAVE_ACCEPT_SHARE / 1000)
+	if (!edge_takes_requests(e))
 		cin_leave(e);
 	if (is_drained(e))
 		e->ev.stop = true;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -34,6 +34,74 @@
 	uint32_t suspects;
 };
 
+/* What the store says of a backend server. */
+struct srv_report {
+	struct str id;
+	uint64_t service;
+	uint64_t zone;
+	struct sockaddr_in addr;
+	uint32_t slots;
+	bool draining;
+	uint64_t seq;
+	/* Unix milliseconds of the server's start. */
+	int64_t born_ms;
+	/* How much longer the server stays slow after its start. */
+	int64_t warm_left_ns;
+	/* Version of the row in the store; larger is newer. */
+	uint64_t version;
+};
+
+/* A row as it was reported, or that it is no longer listed. */
+struct cdc_row {
+	struct srv_report report;
+	bool missing;
+	/* Holds report.id where the row outlives what it was read from. */
+	char id[EDGE_ID_BYTES];
+};
+
+/* Rows that fit one message between VMs. */
+#define SYNC_MAX_ROWS 15
+/* Changed rows that are kept to be passed on. */
+#define SYNC_KEPT_ROWS 512
+/* Readings whose rows a notice repeats, so that a lost datagram is no gap. */
+#define SYNC_REPEATED 3
+
+/* Changes that a reader has read, in the order of their versions. */
+struct sync_changes {
+	struct cdc_row rows[SYNC_KEPT_ROWS];
+	uint32_t count;
+	/* The rows are all changes after this version. */
+	uint64_t from;
+	/* Versions after which the newest readings asked, newest first. */
+	uint64_t readings[SYNC_REPEATED];
+};
+
+/* What this VM knows of the store, and from whom; see sync.h. */
+struct sync_state {
+	/* Versions of the store up to which the tables were read. */
+	uint64_t config_version;
+	uint64_t servers_version;
+	/* Last reading, own or of another VM. */
+	int64_t heard_ns;
+	struct hnd timer;
+	bool reading_config;
+	bool reading_servers;
+	uint64_t read_after;
+	bool config_failing;
+	bool servers_failing;
+	int64_t config_pause_ns;
+	int64_t servers_pause_ns;
+	int64_t config_retry_ns;
+	uint64_t notified_config;
+	/* Connection to the VM that is asked for its state. */
+	struct hnd peer;
+	bool fetching;
+	bool fetch_failed;
+	bool fetch_planned;
+	uint64_t fetch_from;
+	struct sync_changes changes;
+};
+
 enum srv_state {
 	SRV_READY,
 	SRV_DRAINING,
@@ -152,6 +220,8 @@
 	struct sockaddr_in callers;
 	enum mem_state state;
 	bool ready;
+	/* Capacity of its network link. */
+	uint32_t link_mbps;
 	/* Distinguishes starts of a VM; larger is newer. */
 	uint64_t incarnation;
 	uint64_t beat;
@@ -193,9 +263,12 @@
 	uint64_t random_state;
 	/* Servers of the store were read at least once. */
 	bool servers_known;
+	struct sync_state sync;
 	/* Number of the complete reading in progress. */
 	uint32_t read_mark;
-	bool store_up;
+	/* Since when readings of the store fail; 0 while they succeed. */
+	int64_t store_lost_ns;
+	/* End of the last outage; 0 for none. */
 	int64_t store_back_ns;
 	bool leaving;
 	int64_t leave_ns;
@@ -206,6 +279,10 @@
 uint64_t edge_random(struct edge *e);
 /* True while new requests of callers are served. */
 bool edge_is_ready(const struct edge *e);
+/* False in the last part of a planned stop. */
+bool edge_takes_requests(const struct edge *e);
+/* The configuration and the servers are known. */
+bool edge_has_state(const struct edge *e);
 /* Takes over a configuration unless one as new is in force; owns it. */
 void edge_set_conf(struct edge *e, struct conf *conf);
 /* The store answered or failed to. */
--- a/src/edge/eset.c
+++ b/src/edge/eset.c
@@ -6,11 +6,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "edge.h"
 #include "hcl.h"
 #include "logs.h"
 #include "tmr.h"
 
 #define DAY_S 86400.0
+#define MAX_LINK_MBPS 1000000
+#define DEFAULT_LINK_MBPS 1000
 
 enum err eset_duration(struct str text, int64_t *ns)
 {
@@ -121,6 +124,18 @@
 		read_address(doc, v, &s->seeds[s->seed_count++]);
 }
 
+static void read_link(struct cfg_doc *doc, struct json_object *v, void *out)
+{
+	double mbps = json_object_get_double(v);
+
+	if ((!json_object_is_type(v, json_type_double) &&
+	     !json_object_is_type(v, json_type_int)) ||
+	    !(mbps > 0 && mbps <= MAX_LINK_MBPS))
+		cfg_error(doc, "must be a number of Mbit/s above 0");
+	else
+		((struct eset *)out)->link_mbps = llround(ceil(mbps));
+}
+
 static void read_zones(struct cfg_doc *doc, struct json_object *v, void *out)
 {
 	struct eset *s = out;
@@ -139,7 +154,8 @@
 		else if (cfg_get_str(doc, region, &name))
 			s->zones[s->zone_count++] = (struct eset_zone){
 				arn_str(&s->arena, str_from(zone)),
-				arn_str(&s->arena, name)};
+				arn_str(&s->arena, name),
+				edge_key(str_from(zone)), edge_key(name)};
 		cfg_pop(doc, mark);
 	}
 }
@@ -170,6 +186,7 @@
 	{"zones", CFG_CUSTOM, 0, .required = true, .read = read_zones},
 	{"peer_port", CFG_INT, offsetof(struct eset, peer_port), 1, 65535,
 	 true},
+	{"link_mbps", CFG_CUSTOM, 0, .read = read_link},
 	{"peer_trust", CFG_ENUM, offsetof(struct eset, peer_trusted), 0, 0,
 	 true, trusts},
 	{"drain", CFG_CUSTOM, 0, .read = read_drain},
@@ -196,6 +213,7 @@
 	s->retry_window_ns = 10 * NS_PER_S;
 	s->floor_permille = 700;
 	s->log_level = LOGS_INFO;
+	s->link_mbps = DEFAULT_LINK_MBPS;
 }
 
 enum err eset_parse(struct eset *s, struct str file, struct str text,
@@ -246,12 +264,12 @@
 	arn_free(&s->arena);
 }
 
-struct str eset_region(const struct eset *s, struct str zone)
+uint64_t eset_region_key(const struct eset *s, uint64_t zone)
 {
 	size_t i;
 
 	for (i = 0; i < s->zone_count; i++)
-		if (str_eq(s->zones[i].zone, zone))
-			return s->zones[i].region;
-	return STR_NONE;
+		if (s->zones[i].zone_key == zone)
+			return s->zones[i].region_key;
+	return 0;
 }
--- a/src/edge/eset.h
+++ b/src/edge/eset.h
@@ -12,6 +12,8 @@
 struct eset_zone {
 	struct str zone;
 	struct str region;
+	uint64_t zone_key;
+	uint64_t region_key;
 };
 
 /* Settings of an edge process; strings live in the arena. Times are ns. */
@@ -48,6 +50,8 @@
 	/* Part of a service's servers that stays in use, in thousandths. */
 	int64_t floor_permille;
 	int64_t log_level;
+	/* Capacity of this VM's network link. */
+	int64_t link_mbps;
 };
 
 enum err eset_load(struct eset *s, struct str file, struct strbuf *errors);
@@ -55,8 +59,8 @@
 enum err eset_parse(struct eset *s, struct str file, struct str text,
 		    struct strbuf *errors);
 void eset_free(struct eset *s);
-/* Region of a zone; empty when the settings do not name the zone. */
-struct str eset_region(const struct eset *s, struct str zone);
+/* Keys of the regions' and zones' names; 0 for a zone that is not named. */
+uint64_t eset_region_key(const struct eset *s, uint64_t zone);
 /* "500ms", "1.5s"; ERR_INVALID on anything else or above a day. */
 enum err eset_duration(struct str text, int64_t *ns);
 /* "ADDRESS:PORT" of IPv4. */
--- a/src/edge/mem.c
+++ b/src/edge/mem.c
@@ -35,6 +35,7 @@
 	m->region = e->region;
 	m->peer = e->set.address;
 	m->callers = e->set.callers;
+	m->link_mbps = (uint32_t)e->set.link_mbps;
 	m->incarnation = e->incarnation;
 	m->heard_ns = e->ev.now_ns;
 }
@@ -65,6 +66,7 @@
 	m->callers.sin_port = htons(r->callers_port);
 	m->state = r->leaving ? MEM_LEAVING : MEM_ALIVE;
 	m->ready = r->ready;
+	m->link_mbps = r->link_mbps;
 	m->incarnation = r->incarnation;
 	m->beat = r->beat;
 	if (e->ev.now_ns - r->age_ns > m->heard_ns)
@@ -82,6 +84,7 @@
 	out->callers_port = ntohs(m->callers.sin_port);
 	out->leaving = m->state == MEM_LEAVING;
 	out->ready = m->ready;
+	out->link_mbps = m->link_mbps;
 	out->incarnation = m->incarnation;
 	out->beat = m->beat;
 	out->age_ns = m->key == e->self ? 0 : e->ev.now_ns - m->heard_ns;
--- a/src/edge/mem.h
+++ b/src/edge/mem.h
@@ -17,6 +17,7 @@
 	uint16_t callers_port;
 	bool leaving;
 	bool ready;
+	uint32_t link_mbps;
 	uint64_t incarnation;
 	uint64_t beat;
 	/* Time since the VM was known to be alive. */
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -14,9 +14,11 @@
 /* Fits an Ethernet frame with its headers. */
 #define MAX_DATAGRAM 1400
 #define FORMAT 1
+/* Of a message, its kind and sender included. */
+#define MAX_FIELDS 8
 /* Records in a message: the sender's, and others by rotation. */
 #define RECORDS 12
-#define RECORD_FIELDS 10
+#define RECORD_FIELDS 11
 /* Datagrams read for one event, so that callers are not kept waiting. */
 #define READ_BATCH 64
 /* VMs that hear from this one in each period, by region. */
@@ -35,6 +37,8 @@
 	NEWS_MEMBERS,
 	/* As members, and asks for the receiver's in return. */
 	NEWS_ASK,
+	/* What a reader of the store has read. */
+	NEWS_NOTICE,
 };
 
 struct datagram {
@@ -99,6 +103,41 @@
 	send_region(e, &d);
 }
 
+void news_notice(struct edge *e, const struct sync_notice *n)
+{
+	struct datagram d;
+	uint32_t i;
+
+	begin(e, &d, NEWS_NOTICE, 5);
+	mpk_put_uint(&d.out, n->config);
+	mpk_put_uint(&d.out, n->from);
+	mpk_put_uint(&d.out, n->to);
+	mpk_put_int(&d.out, n->store_back_ns / NS_PER_MS);
+	mpk_put_array(&d.out, n->row_count);
+	for (i = 0; i < n->row_count; i++)
+		cdc_put_row(&d.out, &n->rows[i]);
+	send_region(e, &d);
+}
+
+static void hear_notice(struct edge *e, struct mpk_in *in, uint64_t sender)
+{
+	const struct mem_row *from =
+		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	struct sync_notice n = {.row_count = 0};
+	uint32_t i;
+
+	n.config = mpk_get_uint(in, 0, UINT64_MAX);
+	n.from = mpk_get_uint(in, 0, UINT64_MAX);
+	n.to = mpk_get_uint(in, 0, UINT64_MAX);
+	n.store_back_ns =
+		(int64_t)mpk_get_uint(in, 0, INT64_MAX / NS_PER_MS) * NS_PER_MS;
+	n.row_count = mpk_get_list(in, SYNC_MAX_ROWS);
+	for (i = 0; i < n.row_count; i++)
+		cdc_get_row(in, &n.rows[i]);
+	if (from && !in->bad)
+		sync_hear(e, from, &n);
+}
+
 static void put_record(struct mpk_out *out, const struct mem_record *r)
 {
 	mpk_put_array(out, RECORD_FIELDS);
@@ -109,6 +148,7 @@
 	mpk_put_uint(out, ntohs(r->peer.sin_port));
 	mpk_put_uint(out, r->callers_port);
 	mpk_put_uint(out, (uint64_t)r->leaving << 1 | r->ready);
+	mpk_put_uint(out, r->link_mbps);
 	mpk_put_uint(out, r->incarnation);
 	mpk_put_uint(out, r->beat);
 	mpk_put_int(out, r->age_ns / NS_PER_MS);
@@ -131,6 +171,7 @@
 	flags = mpk_get_uint(in, 0, 3);
 	r->ready = flags & 1;
 	r->leaving = flags >> 1;
+	r->link_mbps = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 	r->incarnation = mpk_get_uint(in, 0, UINT64_MAX);
 	r->beat = mpk_get_uint(in, 0, UINT64_MAX);
 	r->age_ns = (int64_t)mpk_get_uint(in, 0, MAX_AGE_NS / NS_PER_MS) *
@@ -265,17 +306,20 @@
 		 const struct sockaddr_in *from)
 {
 	struct mpk_in in;
-	uint64_t kind;
+	uint64_t kind, sender;
 
 	mpk_in_init(&in, bytes);
-	mpk_get_list(&in, 5);
+	mpk_get_list(&in, MAX_FIELDS);
 	if (mpk_get_uint(&in, 0, UINT64_MAX) != FORMAT)
 		return;
-	kind = mpk_get_uint(&in, NEWS_OUTCOME, NEWS_ASK);
-	if (mpk_get_uint(&in, 0, UINT64_MAX) == e->self || in.bad)
+	kind = mpk_get_uint(&in, NEWS_OUTCOME, NEWS_NOTICE);
+	sender = mpk_get_uint(&in, 0, UINT64_MAX);
+	if (sender == e->self || in.bad)
 		return;
 	if (kind == NEWS_MEMBERS || kind == NEWS_ASK)
 		hear_members(e, &in, from, kind == NEWS_ASK);
+	else if (kind == NEWS_NOTICE)
+		hear_notice(e, &in, sender);
 	else
 		hear_server(e, &in, (enum message)kind);
 	if (in.bad)
--- a/src/edge/news.h
+++ b/src/edge/news.h
@@ -2,6 +2,7 @@
 #define NEWS_H
 
 #include "hlth.h"
+#include "sync.h"
 
 /*
  * Messages between edge VMs: one UDP datagram each, encoded with MessagePack.
@@ -14,6 +15,8 @@
 void news_outcome(struct edge *e, const struct srv_row *s,
 		  enum hlth_outcome outcome);
 void news_trial(struct edge *e, const struct srv_row *s);
+/* Tells the VMs of the region what was read from the store. */
+void news_notice(struct edge *e, const struct sync_notice *n);
 /* Sends this VM's record to some others; all when it is urgent. */
 void news_members(struct edge *e, bool urgent);
 
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -163,7 +163,9 @@
 	void *row;
 
 	ctr_add(CTR_REQUESTS, 1);
-	if (!e->conf || !e->servers_known)
+	if (!edge_takes_requests(e))
+		return refuse_head(e, caller, head, 503, "VM is stopping");
+	if (!edge_has_state(e))
 		return refuse_head(e, caller, head, 503,
 				   "no configuration yet");
 	route = conf_find(e->conf, head->host, head->path);
--- a/src/edge/srv.c
+++ b/src/edge/srv.c
@@ -77,9 +77,9 @@
 		log_server(s, added ? "listed"
 				    : (r->draining ? "draining" : "ready"));
 	}
-	s->service = conf_service_key(r->service);
-	s->zone = edge_key(r->zone);
-	s->region = edge_key(eset_region(&e->set, r->zone));
+	s->service = r->service;
+	s->zone = r->zone;
+	s->region = eset_region_key(&e->set, r->zone);
 	s->addr = r->addr;
 	s->slots = r->slots;
 	s->state = state;
@@ -93,7 +93,7 @@
 
 static void set_missing(struct edge *e, struct srv_row *s)
 {
-	int64_t back = e->store_back_ns + RETURN_NS;
+	int64_t back = e->store_back_ns ? e->store_back_ns + RETURN_NS : 0;
 
 	if (s->state == SRV_GONE || s->missing_until_ns)
 		return;
--- a/src/edge/srv.h
+++ b/src/edge/srv.h
@@ -3,23 +3,6 @@
 
 #include "edge.h"
 
-/* What the store says of a backend server. */
-struct srv_report {
-	struct str id;
-	struct str service;
-	struct str zone;
-	struct sockaddr_in addr;
-	uint32_t slots;
-	bool draining;
-	uint64_t seq;
-	/* Unix milliseconds of the server's start. */
-	int64_t born_ms;
-	/* How much longer the server stays slow after its start. */
-	int64_t warm_left_ns;
-	/* Version of the row in the store; larger is newer. */
-	uint64_t version;
-};
-
 /* Adds or updates a server; an older version than the known one is ignored. */
 void srv_report(struct edge *e, const struct srv_report *r);
 /* The store no longer lists the server. */
