Pass signs of life between VMs and space trials of ejected servers

In a fleet of 129 a VM had heard of others too seldom to count them as alive, so that news of a failed server missed part of the region (two VMs ejected the same server on their own 133 ms apart). Messages now carry the age of up to 72 VMs, and a VM that starts gets the whole list from a seed. Trials every 0.35 s took most of the reads and of the retry budget; now 0.8 to 1.1 s.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -130,6 +130,10 @@
 	req_sweep(e);
 	link_sweep(e);
 	cin_sweep(e);
+	if (!e->announced && edge_is_ready(e)) {
+		e->announced = true;
+		news_members(e, true);
+	}
 	if (!e->leaving)
 		return;
 	if (!edge_takes_requests(e))
@@ -203,6 +207,7 @@
 	clock_gettime(CLOCK_REALTIME, &now);
 	e->incarnation =
 		(uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+	e->start_ns = e->ev.now_ns;
 	e->zone = edge_key(e->set.zone);
 	e->region = edge_key(e->set.region);
 	e->self = edge_key(e->set.id);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -270,6 +270,9 @@
 	int64_t store_lost_ns;
 	/* End of the last outage; 0 for none. */
 	int64_t store_back_ns;
+	int64_t start_ns;
+	/* Others were told that this VM is ready. */
+	bool announced;
 	bool leaving;
 	int64_t leave_ns;
 };
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -15,11 +15,11 @@
 /* Successes in a row that return an ejected server. */
 #define RETURN_SUCCESSES 2
 /* Pause between two trials by work that may be repeated. */
-#define TRIAL_NS (350 * NS_PER_MS)
+#define TRIAL_NS (800 * NS_PER_MS)
 /* The same by work that runs once at most. */
 #define UNSAFE_TRIAL_NS (2500 * NS_PER_MS)
 /* Spread of the pause, so that VMs do not try at the same moment. */
-#define TRIAL_JITTER_NS (150 * NS_PER_MS)
+#define TRIAL_JITTER_NS (300 * NS_PER_MS)
 
 static const struct outcome {
 	const char *name;
--- a/src/edge/mem.c
+++ b/src/edge/mem.c
@@ -74,6 +74,15 @@
 	return added;
 }
 
+void mem_hear_sign(struct edge *e, uint64_t key, int64_t age_ns)
+{
+	struct mem_row *m =
+		tab_get(&e->members, idx_get(&e->member_by_key, key));
+
+	if (m && e->ev.now_ns - age_ns > m->heard_ns)
+		m->heard_ns = e->ev.now_ns - age_ns;
+}
+
 void mem_describe(const struct edge *e, const struct mem_row *m,
 		  struct mem_record *out)
 {
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -17,7 +17,11 @@
 /* Of a message, its kind and sender included. */
 #define MAX_FIELDS 8
 /* Records in a message: the sender's, and others by rotation. */
-#define RECORDS 12
+#define RECORDS 5
+/* Records in an answer to a VM that asks for the list. */
+#define LIST_RECORDS 18
+/* VMs of the region of which a message says only that they are alive. */
+#define SIGNS 72
 #define RECORD_FIELDS 11
 /* Datagrams read for one event, so that callers are not kept waiting. */
 #define READ_BATCH 64
@@ -28,8 +32,13 @@
 #define PERIOD_NS NS_PER_S
 /* Period while this VM has heard of nobody. */
 #define LONELY_PERIOD_NS (250 * NS_PER_MS)
-/* Age above which a record is not worth a message. */
+/* Age above which a record is refused. */
 #define MAX_AGE_NS (60 * NS_PER_S)
+/* After its start a VM asks the seeds for the list in each period. */
+#define ASK_NS (3 * NS_PER_S)
+/* One of so many periods reaches the seeds, so that two parts of a fleet
+ * that lost each other meet again. */
+#define SEED_PERIODS 8
 
 enum message {
 	NEWS_OUTCOME = 1,
@@ -178,34 +187,76 @@
 		    NS_PER_MS;
 }
 
-/* This VM's record and others, from a row that moves on with each message. */
-static void put_members(struct edge *e, struct datagram *d, enum message kind)
+/* Records from row first on, the sender's before them; returns the next. */
+static uint32_t put_records(struct edge *e, struct datagram *d,
+			    enum message kind, uint32_t first, uint32_t max)
 {
-	struct mem_record records[RECORDS];
-	uint32_t i, n = 0, start;
+	struct mem_record records[LIST_RECORDS];
+	uint32_t i, n = 0;
 
 	mem_describe(e, mem_self(e), &records[n++]);
-	start = (uint32_t)(edge_random(e) % e->members.len);
-	for (i = 0; i < e->members.len && n < RECORDS; i++) {
+	for (i = first; i < e->members.len && n < max; i++) {
+		const struct mem_row *m = tab_at(&e->members, i);
+
+		if (m->key != e->self && mem_is_alive(e, m))
+			mem_describe(e, m, &records[n++]);
+	}
+	begin(e, d, kind, 2);
+	mpk_put_array(&d->out, n);
+	while (n > 0)
+		put_record(&d->out, &records[--n]);
+	return i;
+}
+
+/* Key and age of VMs of this region, from a random row on. */
+static void put_signs(struct edge *e, struct datagram *d)
+{
+	uint64_t signs[SIGNS * 2];
+	uint32_t i, n = 0, len = e->members.len;
+	uint32_t start = (uint32_t)(edge_random(e) % len);
+
+	for (i = 0; i < len && n < SIGNS; i++) {
 		const struct mem_row *m =
-			tab_at(&e->members, (start + i) % e->members.len);
+			tab_at(&e->members, (start + i) % len);
 
-		if (m->key == e->self || !mem_is_alive(e, m))
+		if (m->key == e->self || m->region != e->region ||
+		    !mem_is_alive(e, m))
 			continue;
-		mem_describe(e, m, &records[n++]);
+		signs[n * 2] = m->key;
+		signs[n * 2 + 1] =
+			(uint64_t)((e->ev.now_ns - m->heard_ns) / NS_PER_MS);
+		n++;
+	}
+	mpk_put_array(&d->out, n * 2);
+	for (i = 0; i < n * 2; i++)
+		mpk_put_uint(&d->out, signs[i]);
+}
+
+static void put_members(struct edge *e, struct datagram *d, enum message kind)
+{
+	put_records(e, d, kind, (uint32_t)(edge_random(e) % e->members.len),
+		    RECORDS);
+	put_signs(e, d);
+}
+
+static void send_list(struct edge *e, const struct sockaddr_in *to)
+{
+	struct datagram d;
+	uint32_t next = 0;
+
+	while (next < e->members.len) {
+		next = put_records(e, &d, NEWS_MEMBERS, next, LIST_RECORDS);
+		mpk_put_array(&d.out, 0);
+		send_to(e, &d, to);
 	}
-	begin(e, d, kind, 1);
-	mpk_put_array(&d->out, n);
-	for (i = 0; i < n; i++)
-		put_record(&d->out, &records[i]);
 }
 
-static void ask_seeds(struct edge *e)
+static void send_seeds(struct edge *e, enum message kind)
 {
 	struct datagram d;
 	size_t i;
 
-	put_members(e, &d, NEWS_ASK);
+	put_members(e, &d, kind);
 	for (i = 0; i < e->set.seed_count; i++) {
 		struct sockaddr_in to = e->set.seeds[i];
 
@@ -250,8 +301,10 @@
 	int i;
 
 	refresh_self(e);
-	if (e->members.len < 2 || !(mem_self(e)->beat % 8))
-		ask_seeds(e);
+	if (e->members.len < 2 || e->ev.now_ns - e->start_ns < ASK_NS)
+		send_seeds(e, NEWS_ASK);
+	else if (!(mem_self(e)->beat % SEED_PERIODS))
+		send_seeds(e, NEWS_MEMBERS);
 	if (urgent) {
 		put_members(e, &d, NEWS_MEMBERS);
 		send_region(e, &d);
@@ -265,24 +318,26 @@
 static void hear_members(struct edge *e, struct mpk_in *in,
 			 const struct sockaddr_in *from, bool asked)
 {
-	uint32_t i, n = mpk_get_list(in, RECORDS);
-	struct mem_record records[RECORDS];
-	struct datagram d;
+	struct mem_record records[LIST_RECORDS];
+	uint64_t signs[SIGNS * 2];
+	uint32_t i, n, count;
 
+	n = mpk_get_list(in, LIST_RECORDS);
 	for (i = 0; i < n; i++)
 		get_record(in, &records[i]);
+	count = mpk_get_list(in, SIGNS * 2);
+	for (i = 0; i < count; i++)
+		signs[i] = mpk_get_uint(in, 0, UINT64_MAX);
 	if (in->bad)
 		return;
 	for (i = 0; i < n; i++)
 		mem_hear(e, &records[i]);
-	if (!asked)
-		return;
-	/* Two messages carry more of the list to a VM that starts. */
-	refresh_self(e);
-	for (i = 0; i < 2; i++) {
-		put_members(e, &d, NEWS_MEMBERS);
-		send_to(e, &d, from);
-	}
+	for (i = 0; i + 1 < count; i += 2)
+		if (signs[i + 1] <= MAX_AGE_NS / NS_PER_MS)
+			mem_hear_sign(e, signs[i],
+				      (int64_t)signs[i + 1] * NS_PER_MS);
+	if (asked)
+		send_list(e, from);
 }
 
 static void hear_server(struct edge *e, struct mpk_in *in, enum message kind)
@@ -316,6 +371,7 @@
 	sender = mpk_get_uint(&in, 0, UINT64_MAX);
 	if (sender == e->self || in.bad)
 		return;
+	mem_hear_sign(e, sender, 0);
 	if (kind == NEWS_MEMBERS || kind == NEWS_ASK)
 		hear_members(e, &in, from, kind == NEWS_ASK);
 	else if (kind == NEWS_NOTICE)
