--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -51,7 +51,7 @@
 static void log_change(const struct srv_row *s, const char *event,
 		       enum hlth_outcome outcome, bool own)
 {
-	logs_event(LOGS_INFO, event,
+	logs_event(own ? LOGS_INFO : LOGS_DEBUG, event,
 		   (struct logs_field[]){
 			   LOGS_STR("server", str_from(s->id)),
 			   LOGS_STR("outcome", str_from(hlth_name(outcome))),
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -18,8 +18,9 @@
 #define PATIENCE_SPREAD_NS (300 * NS_PER_MS)
 /* VMs that wait for changes of the configuration. */
 #define CONFIG_READERS 2
-/* A reading for changes is answered when there is one. */
-#define CONFIG_WAIT_NS (25 * NS_PER_S)
+/* A reading for changes is answered when there is one. An answer that is lost
+ * is noticed only after this time, so it is below the bound for a change. */
+#define CONFIG_WAIT_NS (1500 * NS_PER_MS)
 /* Time to hear of other VMs before the first reading. */
 #define DISCOVERY_NS (300 * NS_PER_MS)
 /* First pause after a failed reading; it doubles. */
--- /dev/null
+++ b/tests/edge_fixture.h
@@ -0,0 +1,122 @@
+#ifndef EDGE_FIXTURE_H
+#define EDGE_FIXTURE_H
+
+#include <stdio.h>
+#include <string.h>
+
+#include "call.h"
+#include "cin.h"
+#include "link.h"
+#include "mem.h"
+#include "srv.h"
+
+/*
+ * An edge without sockets, for tests of its decisions. Its clock stands at
+ * e->ev.now_ns. Zones z0 and z1 are in region r0, z2 in r1.
+ */
+#define FIX_SERVICE STR("svc")
+
+static inline void fix_init(struct edge *e)
+{
+	static const char *const zones[][2] = {
+		{"z0", "r0"}, {"z1", "r0"}, {"z2", "r1"}};
+	size_t i;
+
+	memset(e, 0, sizeof(*e));
+	e->news_fd = -1;
+	e->random_state = 1;
+	e->ev.now_ns = 1000 * NS_PER_S;
+	e->dia = &dia_default;
+	tmr_init(&e->ev.timers);
+	tab_init(&e->services, sizeof(struct svc_row));
+	tab_init(&e->servers, sizeof(struct srv_row));
+	tab_init(&e->requests, sizeof(struct req_row));
+	tab_init(&e->callers, sizeof(struct cin_row));
+	tab_init(&e->links, sizeof(struct link_row));
+	tab_init(&e->members, sizeof(struct mem_row));
+	tab_init(&e->calls, sizeof(struct call_row));
+	idx_init(&e->server_by_key);
+	idx_init(&e->member_by_key);
+	e->set.floor_permille = 500;
+	e->set.retry_permille = 200;
+	e->set.retry_slack = 10;
+	e->set.retry_window_ns = 10 * NS_PER_S;
+	e->set.link_mbps = 100;
+	for (i = 0; i < 3; i++)
+		e->set.zones[e->set.zone_count++] = (struct eset_zone){
+			str_from(zones[i][0]), str_from(zones[i][1]),
+			edge_key(str_from(zones[i][0])),
+			edge_key(str_from(zones[i][1]))};
+	e->zone = edge_key(STR("z0"));
+	e->region = edge_key(STR("r0"));
+	e->self = edge_key(STR("vm0"));
+	mem_start(e);
+}
+
+static inline void fix_free(struct edge *e)
+{
+	tmr_free(&e->ev.timers);
+	tab_free(&e->services);
+	tab_free(&e->servers);
+	tab_free(&e->requests);
+	tab_free(&e->callers);
+	tab_free(&e->links);
+	tab_free(&e->members);
+	tab_free(&e->calls);
+	idx_free(&e->server_by_key);
+	idx_free(&e->member_by_key);
+	conf_free(e->conf);
+}
+
+static inline void fix_step(struct edge *e, int64_t ns)
+{
+	e->ev.now_ns += ns;
+}
+
+static inline struct srv_report fix_report(const char *id, const char *zone,
+					   uint64_t version)
+{
+	return (struct srv_report){
+		.id = str_from(id),
+		.service = conf_service_key(FIX_SERVICE),
+		.zone = edge_key(str_from(zone)),
+		.slots = 6,
+		.born_ms = 1,
+		.version = version,
+	};
+}
+
+/* Adds a ready server and returns its row. */
+static inline struct srv_row *fix_server(struct edge *e, const char *id,
+					 const char *zone)
+{
+	struct srv_report r = fix_report(id, zone, 1);
+
+	srv_report(e, &r);
+	return srv_find(e, edge_key(str_from(id)), NULL);
+}
+
+static inline struct req_row fix_request(enum conf_kind kind)
+{
+	return (struct req_row){
+		.kind = kind,
+		.service = conf_service_key(FIX_SERVICE),
+		.attempts = 2,
+	};
+}
+
+static inline struct mem_record fix_record(const char *id, const char *zone,
+					   const char *region)
+{
+	return (struct mem_record){
+		.key = edge_key(str_from(id)),
+		.zone = edge_key(str_from(zone)),
+		.region = edge_key(str_from(region)),
+		.ready = true,
+		.link_mbps = 100,
+		.incarnation = 1,
+		.beat = 1,
+	};
+}
+
+#endif
--- /dev/null
+++ b/tests/test_conf.c
@@ -0,0 +1,115 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "conf.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static void add(struct conf *c, const char *host, const char *prefix)
+{
+	struct conf_route r = {
+		.name = str_from(prefix),
+		.host = str_from(host),
+		.prefix = str_from(prefix),
+		.attempts = 1,
+	};
+	struct conf_part part = {conf_service_key(STR("svc")), 1};
+
+	conf_add_route(c, &r, &part, 1);
+}
+
+/* Guards against a request that is run by the service of another route. */
+static void test_longest_prefix(void **state)
+{
+	static const struct {
+		const char *host;
+		const char *path;
+		/* Prefix of the route; NULL for none. */
+		const char *prefix;
+	} cases[] = {
+		{"a.example", "/x/", "/x/"},
+		{"a.example", "/x/1", "/x/"},
+		{"a.example", "/x/y/1", "/x/y/"},
+		{"a.example", "/x/yz", "/x/"},
+		{"a.example", "/x", NULL},
+		{"a.example", "/xy/", NULL},
+		{"a.example", "/x/y/?q=/x/y/z/", "/x/y/"},
+		{"A.Example:8080", "/x/1", "/x/"},
+		{"b.example", "/x/1", "/"},
+		{"b.example", "/", "/"},
+		{"c.example", "/x/", NULL},
+		{"", "/x/", NULL},
+	};
+	struct conf *c = conf_new();
+	size_t i;
+
+	(void)state;
+	add(c, "a.example", "/x/");
+	add(c, "a.example", "/x/y/");
+	add(c, "b.example", "/");
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct conf_route *r =
+			conf_find(c, str_from(cases[i].host),
+				  str_from(cases[i].path));
+
+		if (!r != !cases[i].prefix ||
+		    (r && !str_eq(r->prefix, str_from(cases[i].prefix))))
+			fail_msg("%s%s: found %.*s", cases[i].host,
+				 cases[i].path, STR_FMT(r ? r->prefix
+							  : STR("none")));
+	}
+	conf_free(c);
+}
+
+/* Guards against a split whose parts do not get their weights. */
+static void test_split(void **state)
+{
+	static const struct {
+		uint32_t weights[3];
+		uint32_t count;
+	} cases[] = {
+		{{90, 10}, 2}, {{1, 1, 2}, 3}, {{0, 5}, 2}, {{7}, 1}};
+	static const char *const names[] = {"s0", "s1", "s2"};
+	size_t i, k, draws = 10000;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct conf *c = conf_new();
+		struct conf_part parts[3];
+		struct conf_route r = {.host = STR("h"), .prefix = STR("/")};
+		size_t got[3] = {0}, sum = 0;
+
+		for (k = 0; k < cases[i].count; k++) {
+			parts[k].service = conf_service_key(str_from(names[k]));
+			parts[k].weight = cases[i].weights[k];
+			sum += parts[k].weight;
+		}
+		conf_add_route(c, &r, parts, cases[i].count);
+		for (k = 0; k < draws * sum; k++) {
+			uint64_t key = conf_draw_service(c, &c->routes[0], k);
+			size_t part = 0;
+
+			while (key != parts[part].service)
+				part++;
+			got[part]++;
+		}
+		for (k = 0; k < cases[i].count; k++)
+			assert_int_equal(got[k], draws * parts[k].weight);
+		conf_free(c);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_longest_prefix),
+		cmocka_unit_test(test_split),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_edge_health.c
@@ -0,0 +1,256 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "bud.h"
+#include "edge_fixture.h"
+#include "hlth.h"
+#include "pick.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct edge e;
+
+/* Guards against a sick server that stays in use, and against a sound one
+ * that is ejected for the errors that every server makes. */
+static void test_ejection(void **state)
+{
+	static const struct {
+		const char *name;
+		/* One letter an answer: s, e(rror), b(roken), t(imed out),
+		 * f(ull). */
+		const char *answers;
+		int gap_ms;
+		bool ejected;
+	} cases[] = {
+		{"successes", "ssssss", 100, false},
+		{"one reset", "sssb", 100, true},
+		{"one stall", "t", 100, true},
+		{"one error", "sse", 100, false},
+		{"two errors far apart", "esssse", 2000, false},
+		{"errors in a row", "eee", 100, true},
+		{"errors between successes", "esesesese", 150, true},
+		{"no room", "ffffff", 10, false},
+	};
+	static const enum hlth_outcome outcome[] = {
+		['s'] = HLTH_SUCCESS, ['e'] = HLTH_ERROR, ['b'] = HLTH_BROKEN,
+		['t'] = HLTH_STALLED, ['f'] = HLTH_FULL,
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct srv_row *s;
+		const char *a;
+
+		fix_init(&e);
+		s = fix_server(&e, "i-0", "z0");
+		for (a = cases[i].answers; *a; a++) {
+			hlth_note(&e, s, outcome[(unsigned char)*a]);
+			fix_step(&e, cases[i].gap_ms * NS_PER_MS);
+		}
+		if (s->suspect != cases[i].ejected)
+			fail_msg("%s: ejected %d", cases[i].name, s->suspect);
+		fix_free(&e);
+	}
+}
+
+/* Guards against an ejected server that gets unsafe work before it has shown
+ * that it is well, and against one that never returns. */
+static void test_return(void **state)
+{
+	struct req_row safe = fix_request(CONF_SAFE);
+	struct req_row unsafe = fix_request(CONF_UNSAFE);
+	struct srv_row *sick;
+	struct pick p;
+	int trials = 0;
+
+	(void)state;
+	fix_init(&e);
+	fix_server(&e, "i-1", "z0");
+	fix_server(&e, "i-2", "z0");
+	sick = fix_server(&e, "i-0", "z0");
+	hlth_note(&e, sick, HLTH_BROKEN);
+	assert_false(pick_server(&e, &safe).trial);
+	fix_step(&e, 1200 * NS_PER_MS);
+	p = pick_server(&e, &unsafe);
+	assert_false(p.trial);
+	assert_ptr_not_equal(tab_get(&e.servers, p.server), sick);
+	while (sick->suspect && trials < 10) {
+		p = pick_server(&e, &safe);
+		assert_true(p.trial);
+		assert_ptr_equal(tab_get(&e.servers, p.server), sick);
+		hlth_begin_trial(&e, sick);
+		/* A second request does not try it, too. */
+		assert_false(pick_server(&e, &safe).trial);
+		hlth_note(&e, sick, HLTH_SUCCESS);
+		trials++;
+	}
+	assert_int_equal(trials, 2);
+	fix_free(&e);
+}
+
+/* Guards against ejections that leave a service without capacity. */
+static void test_floor(void **state)
+{
+	static const struct {
+		int sick;
+		int listed;
+		/* An ejected server may be chosen. */
+		bool ejected_in_use;
+	} cases[] = {
+		{0, 4, false}, {1, 4, false}, {2, 4, false},
+		{3, 4, true},  {4, 4, true},  {1, 1, true},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct req_row r = fix_request(CONF_UNSAFE);
+		bool seen = false;
+		int k;
+
+		fix_init(&e);
+		for (k = 0; k < cases[i].listed; k++) {
+			char id[16];
+			struct srv_row *s;
+
+			snprintf(id, sizeof(id), "i-%d", k);
+			s = fix_server(&e, id, "z0");
+			if (k < cases[i].sick)
+				hlth_note(&e, s, HLTH_BROKEN);
+		}
+		for (k = 0; k < cases[i].listed; k++) {
+			struct pick p = pick_server(&e, &r);
+			struct srv_row *s;
+
+			if (p.result != PICK_FOUND)
+				break;
+			s = tab_get(&e.servers, p.server);
+			seen |= s->suspect;
+			r.tried[r.tried_count++] = s->key;
+		}
+		if (seen != cases[i].ejected_in_use)
+			fail_msg("%d of %d sick: ejected in use %d",
+				 cases[i].sick, cases[i].listed, seen);
+		fix_free(&e);
+	}
+}
+
+/* Guards against bytes that cross zones and regions without need, and against
+ * work for servers that leave, are full or were tried. */
+static void test_placement(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *zones[3];
+		enum { NONE, DRAINING, GONE, TRIED, FULL, BUSY } first;
+		/* Row that is chosen; -1 for none. */
+		int chosen;
+		enum pick_result result;
+	} cases[] = {
+		{"own zone", {"z0", "z1", "z2"}, NONE, 0, PICK_FOUND},
+		{"own region", {"z2", "z1", "z2"}, NONE, 1, PICK_FOUND},
+		{"draining", {"z0", "z1", "z2"}, DRAINING, 1, PICK_FOUND},
+		{"gone", {"z0", "z1", "z2"}, GONE, 1, PICK_FOUND},
+		{"tried", {"z0", "z1", "z2"}, TRIED, 1, PICK_FOUND},
+		{"full", {"z0", "z1", "z2"}, FULL, 1, PICK_FOUND},
+		{"busy", {"z0", "z1", "z2"}, BUSY, 1, PICK_FOUND},
+		{"only one, full", {"z0"}, FULL, -1, PICK_FULL},
+		{"only one, draining", {"z0"}, DRAINING, -1, PICK_NONE},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct req_row r = fix_request(CONF_UNSAFE);
+		struct srv_row *s;
+		struct pick p;
+		size_t k;
+
+		fix_init(&e);
+		for (k = 0; k < 3 && cases[i].zones[k]; k++) {
+			char id[16];
+
+			snprintf(id, sizeof(id), "i-%zu", k);
+			fix_server(&e, id, cases[i].zones[k]);
+		}
+		s = tab_at(&e.servers, 0);
+		if (cases[i].first == DRAINING)
+			s->state = SRV_DRAINING;
+		if (cases[i].first == GONE)
+			s->state = SRV_GONE;
+		if (cases[i].first == TRIED)
+			r.tried[r.tried_count++] = s->key;
+		if (cases[i].first == FULL)
+			s->full_until_ns = e.ev.now_ns + NS_PER_S;
+		if (cases[i].first == BUSY)
+			s->in_flight = 6;
+		p = pick_server(&e, &r);
+		if (p.result != cases[i].result)
+			fail_msg("%s: result %d", cases[i].name, p.result);
+		if (cases[i].chosen >= 0)
+			assert_ptr_equal(tab_get(&e.servers, p.server),
+					 tab_at(&e.servers,
+						(uint32_t)cases[i].chosen));
+		fix_free(&e);
+	}
+}
+
+/* Guards against repeats beyond the budget that all VMs share. */
+static void test_budget(void **state)
+{
+	static const struct {
+		int requests;
+		int vms;
+		int wanted;
+		int granted;
+	} cases[] = {
+		{0, 1, 20, 10},	  {0, 10, 20, 1},   {100, 10, 50, 21},
+		{100, 1, 10, 10}, {1000, 10, 500, 201},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct svc_row *svc;
+		int k, granted = 0;
+
+		fix_init(&e);
+		svc = edge_service(&e, conf_service_key(FIX_SERVICE));
+		for (k = 1; k < cases[i].vms; k++) {
+			char id[16];
+			struct mem_record m;
+
+			snprintf(id, sizeof(id), "vm%d", k);
+			m = fix_record(id, "z0", "r0");
+			mem_hear(&e, &m);
+		}
+		for (k = 0; k < cases[i].requests; k++)
+			bud_request(&e, svc);
+		for (k = 0; k < cases[i].wanted; k++)
+			granted += bud_take(&e, svc);
+		if (granted != cases[i].granted)
+			fail_msg("%d requests, %d VMs: %d repeats",
+				 cases[i].requests, cases[i].vms, granted);
+		/* Old requests and repeats leave the window. */
+		fix_step(&e, 60 * NS_PER_S);
+		assert_true(bud_take(&e, svc));
+		fix_free(&e);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_ejection),
+		cmocka_unit_test(test_return),
+		cmocka_unit_test(test_floor),
+		cmocka_unit_test(test_placement),
+		cmocka_unit_test(test_budget),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
