Share loads within a region and sums between regions

VMs now report theirs to their region each 0.1 s or more, the first VM of a region sends sums and ejected servers to the others, and placement weighs waiting against bytes.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -11,6 +11,7 @@
 #include "cin.h"
 #include "exits.h"
 #include "link.h"
+#include "load.h"
 #include "logs.h"
 #include "mem.h"
 #include "news.h"
@@ -22,7 +23,7 @@
 /* Failures for this long are an outage, in which entries may have lapsed. */
 #define OUTAGE_NS (2 * NS_PER_S)
 /* Before the platform ends the process by force. */
-#define GRACE_MARGIN_NS (150 * NS_PER_MS)
+#define GRACE_MARGIN_NS (500 * NS_PER_MS)
 /* Share of the grace time in which new requests are still taken, in
  * thousandths: callers keep addresses for a while, and what is taken must end
  * in the rest. */
@@ -160,6 +161,7 @@
 
 	cin_expire(e);
 	link_expire(e);
+	load_expire(e);
 }
 
 static void on_signal(void *ctx, int number)
@@ -202,6 +204,7 @@
 	tab_init(&e->links, sizeof(struct link_row));
 	tab_init(&e->members, sizeof(struct mem_row));
 	tab_init(&e->calls, sizeof(struct call_row));
+	tab_init(&e->far, sizeof(struct far_row));
 	idx_init(&e->server_by_key);
 	idx_init(&e->member_by_key);
 	clock_gettime(CLOCK_REALTIME, &now);
@@ -231,6 +234,7 @@
 	tab_free(&e->links);
 	tab_free(&e->members);
 	tab_free(&e->calls);
+	tab_free(&e->far);
 	idx_free(&e->server_by_key);
 	idx_free(&e->member_by_key);
 	conf_free(e->conf);
@@ -254,6 +258,7 @@
 				     });
 	if (cin_start(e) || news_start(e))
 		return ERR_IO;
+	load_start(e);
 	return e->ops.start(e->ops.ctx);
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -129,6 +129,10 @@
 	/* Work of this VM. */
 	uint32_t in_flight;
 	uint32_t idle_links;
+	/* Work of the other VMs of the region, as they reported it. */
+	uint32_t remote_in_flight;
+	/* Ejected by the VMs of its region, which is not this one. */
+	bool ejected_there;
 	/* Refused for lack of room; no new work until then. */
 	int64_t full_until_ns;
 	/* Ejection: out of regular traffic since, and the next trial. */
@@ -206,6 +210,16 @@
 	int spare_status;
 };
 
+/* Servers that a report names. */
+#define LOAD_MAX_COUNTS 24
+
+/* Requests in flight of one VM, by server. */
+struct load_report {
+	uint32_t count;
+	uint64_t servers[LOAD_MAX_COUNTS];
+	uint32_t in_flight[LOAD_MAX_COUNTS];
+};
+
 enum mem_state {
 	MEM_ALIVE,
 	MEM_LEAVING,
@@ -227,6 +241,18 @@
 	uint64_t beat;
 	/* Last time this VM was known to be alive. */
 	int64_t heard_ns;
+	/* Its requests in flight, while the report counts. */
+	struct load_report load;
+	int64_t load_ns;
+};
+
+/* A service in another region, as its first VM described it. */
+struct far_row {
+	uint64_t region;
+	uint64_t service;
+	uint32_t in_flight;
+	uint32_t slots;
+	int64_t heard_ns;
 };
 
 struct edge_ops {
@@ -254,6 +280,7 @@
 	struct tab links;
 	struct tab members;
 	struct tab calls;
+	struct tab far;
 	struct idx member_by_key;
 	int news_fd;
 	uint64_t zone;
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -21,6 +21,9 @@
 /* Spread of the pause, so that VMs do not try at the same moment. */
 #define TRIAL_JITTER_NS (300 * NS_PER_MS)
 
+/* How long a VM avoids a server of another region that failed it. */
+#define FAR_MEMORY_NS (2 * NS_PER_S)
+
 static const struct outcome {
 	const char *name;
 	/* Added to the score. */
@@ -77,6 +80,8 @@
 	s->last_proof_ns = e->ev.now_ns;
 	if (s->suspect) {
 		s->trial_failures++;
+		s->suspect_ns = s->region == e->region ? s->suspect_ns
+						       : e->ev.now_ns;
 		plan_trial(e, s);
 		return;
 	}
@@ -143,6 +148,15 @@
 	plan_trial(e, s);
 }
 
+bool hlth_is_out(const struct edge *e, const struct srv_row *s)
+{
+	if (s->region == e->region)
+		return s->suspect;
+	/* The VMs of its own region try it; what this one saw fades. */
+	return s->ejected_there ||
+	       (s->suspect && e->ev.now_ns - s->suspect_ns < FAR_MEMORY_NS);
+}
+
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
 		    enum conf_kind kind)
 {
--- a/src/edge/hlth.h
+++ b/src/edge/hlth.h
@@ -35,6 +35,8 @@
 /* News of another VM. */
 void hlth_hear(struct edge *e, struct srv_row *s, enum hlth_outcome outcome);
 void hlth_hear_trial(struct edge *e, struct srv_row *s);
+/* Out of regular traffic, as far as this VM knows. */
+bool hlth_is_out(const struct edge *e, const struct srv_row *s);
 /* True when a request of the kind may try the ejected server now. */
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
 		    enum conf_kind kind);
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -20,13 +20,15 @@
 #define RECORDS 5
 /* Records in an answer to a VM that asks for the list. */
 #define LIST_RECORDS 18
-/* VMs of the region of which a message says only that they are alive. */
+/* VMs of which a message says only that they are alive. */
 #define SIGNS 72
 #define RECORD_FIELDS 11
 /* Datagrams read for one event, so that callers are not kept waiting. */
 #define READ_BATCH 64
 /* VMs that hear from this one in each period, by region. */
 #define NEAR_TARGETS 2
+/* VMs of another region that hear a summary and pass it on. */
+#define FAR_TARGETS 2
 /* One of so many periods also reaches another region. */
 #define FAR_PERIODS 4
 #define PERIOD_NS NS_PER_S
@@ -48,6 +50,10 @@
 	NEWS_ASK,
 	/* What a reader of the store has read. */
 	NEWS_NOTICE,
+	NEWS_LOAD,
+	/* State of a region; a VM that hears it from there passes it on. */
+	NEWS_SUMMARY,
+	NEWS_LAST = NEWS_SUMMARY,
 };
 
 struct datagram {
@@ -92,6 +98,40 @@
 	}
 }
 
+/* True when the region has had its share of messages; counts one more. */
+static bool is_served(uint64_t *regions, uint32_t *sent, uint32_t *count,
+		      uint64_t region)
+{
+	uint32_t i;
+
+	for (i = 0; i < *count; i++)
+		if (regions[i] == region)
+			return ++sent[i] > FAR_TARGETS;
+	if (*count == ESET_MAX_ZONES)
+		return true;
+	regions[*count] = region;
+	sent[(*count)++] = 1;
+	return false;
+}
+
+/* To a few VMs of each other region. */
+static void send_far(struct edge *e, const struct datagram *d)
+{
+	uint64_t regions[ESET_MAX_ZONES];
+	uint32_t sent[ESET_MAX_ZONES], count = 0;
+	uint32_t i, len = e->members.len;
+	uint32_t start = (uint32_t)(edge_random(e) % len);
+
+	for (i = 0; i < len; i++) {
+		const struct mem_row *m =
+			tab_at(&e->members, (start + i) % len);
+
+		if (m->region != e->region && mem_is_alive(e, m) &&
+		    !is_served(regions, sent, &count, m->region))
+			send_to(e, d, &m->peer);
+	}
+}
+
 void news_outcome(struct edge *e, const struct srv_row *s,
 		  enum hlth_outcome outcome)
 {
@@ -147,6 +187,91 @@
 		sync_hear(e, from, &n);
 }
 
+void news_load(struct edge *e, const struct load_report *r)
+{
+	struct datagram d;
+	uint32_t i;
+
+	begin(e, &d, NEWS_LOAD, 1);
+	mpk_put_array(&d.out, r->count * 2);
+	for (i = 0; i < r->count; i++) {
+		mpk_put_uint(&d.out, r->servers[i]);
+		mpk_put_uint(&d.out, r->in_flight[i]);
+	}
+	send_region(e, &d);
+}
+
+static void hear_load(struct edge *e, struct mpk_in *in, uint64_t sender)
+{
+	struct mem_row *from =
+		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	struct load_report r;
+	uint32_t i;
+
+	memset(&r, 0, sizeof(r));
+	r.count = mpk_get_list(in, LOAD_MAX_COUNTS * 2) / 2;
+	for (i = 0; i < r.count; i++) {
+		r.servers[i] = mpk_get_uint(in, 0, UINT64_MAX);
+		r.in_flight[i] = (uint32_t)mpk_get_uint(in, 0, UINT16_MAX);
+	}
+	if (from && !in->bad)
+		load_hear(e, from, &r);
+}
+
+static void put_summary(struct edge *e, struct datagram *d,
+			const struct load_summary *s)
+{
+	uint32_t i;
+
+	begin(e, d, NEWS_SUMMARY, 3);
+	mpk_put_uint(&d->out, s->region);
+	mpk_put_array(&d->out, s->service_count * 3);
+	for (i = 0; i < s->service_count; i++) {
+		mpk_put_uint(&d->out, s->services[i].service);
+		mpk_put_uint(&d->out, s->services[i].in_flight);
+		mpk_put_uint(&d->out, s->services[i].slots);
+	}
+	mpk_put_array(&d->out, s->ejected_count);
+	for (i = 0; i < s->ejected_count; i++)
+		mpk_put_uint(&d->out, s->ejected[i]);
+}
+
+void news_summary(struct edge *e, const struct load_summary *s)
+{
+	struct datagram d;
+
+	put_summary(e, &d, s);
+	send_far(e, &d);
+}
+
+static void hear_summary(struct edge *e, struct mpk_in *in, uint64_t sender)
+{
+	const struct mem_row *from =
+		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	struct load_summary s = {.region = 0};
+	struct datagram d;
+	uint32_t i;
+
+	s.region = mpk_get_uint(in, 0, UINT64_MAX);
+	s.service_count = mpk_get_list(in, LOAD_MAX_COUNTS * 3) / 3;
+	for (i = 0; i < s.service_count; i++) {
+		s.services[i].service = mpk_get_uint(in, 0, UINT64_MAX);
+		s.services[i].in_flight =
+			(uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+		s.services[i].slots = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	}
+	s.ejected_count = mpk_get_list(in, LOAD_MAX_EJECTED);
+	for (i = 0; i < s.ejected_count; i++)
+		s.ejected[i] = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	if (in->bad || s.region == e->region)
+		return;
+	load_hear_summary(e, &s);
+	if (!from || from->region != s.region)
+		return;
+	put_summary(e, &d, &s);
+	send_region(e, &d);
+}
+
 static void put_record(struct mpk_out *out, const struct mem_record *r)
 {
 	mpk_put_array(out, RECORD_FIELDS);
@@ -208,7 +333,7 @@
 	return i;
 }
 
-/* Key and age of VMs of this region, from a random row on. */
+/* Key and age of VMs, from a random row on. */
 static void put_signs(struct edge *e, struct datagram *d)
 {
 	uint64_t signs[SIGNS * 2];
@@ -219,8 +344,7 @@
 		const struct mem_row *m =
 			tab_at(&e->members, (start + i) % len);
 
-		if (m->key == e->self || m->region != e->region ||
-		    !mem_is_alive(e, m))
+		if (m->key == e->self || !mem_is_alive(e, m))
 			continue;
 		signs[n * 2] = m->key;
 		signs[n * 2 + 1] =
@@ -367,7 +491,7 @@
 	mpk_get_list(&in, MAX_FIELDS);
 	if (mpk_get_uint(&in, 0, UINT64_MAX) != FORMAT)
 		return;
-	kind = mpk_get_uint(&in, NEWS_OUTCOME, NEWS_NOTICE);
+	kind = mpk_get_uint(&in, NEWS_OUTCOME, NEWS_LAST);
 	sender = mpk_get_uint(&in, 0, UINT64_MAX);
 	if (sender == e->self || in.bad)
 		return;
@@ -376,6 +500,10 @@
 		hear_members(e, &in, from, kind == NEWS_ASK);
 	else if (kind == NEWS_NOTICE)
 		hear_notice(e, &in, sender);
+	else if (kind == NEWS_LOAD)
+		hear_load(e, &in, sender);
+	else if (kind == NEWS_SUMMARY)
+		hear_summary(e, &in, sender);
 	else
 		hear_server(e, &in, (enum message)kind);
 	if (in.bad)
--- a/src/edge/news.h
+++ b/src/edge/news.h
@@ -2,6 +2,7 @@
 #define NEWS_H
 
 #include "hlth.h"
+#include "load.h"
 #include "sync.h"
 
 /*
@@ -15,6 +16,10 @@
 void news_outcome(struct edge *e, const struct srv_row *s,
 		  enum hlth_outcome outcome);
 void news_trial(struct edge *e, const struct srv_row *s);
+/* Tells the VMs of the region what this one has in flight. */
+void news_load(struct edge *e, const struct load_report *r);
+/* Tells the other regions of this one, by way of a few VMs there. */
+void news_summary(struct edge *e, const struct load_summary *s);
 /* Tells the VMs of the region what was read from the store. */
 void news_notice(struct edge *e, const struct sync_notice *n);
 /* Sends this VM's record to some others; all when it is urgent. */
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -1,6 +1,7 @@
 #include "pick.h"
 
 #include "hlth.h"
+#include "load.h"
 
 /*
  * Costs in thousandths of the worth of a request. Bytes between zones and
@@ -13,12 +14,17 @@
 #define ANSWER_KB 5
 #define CONNECT_COST 40
 /* One more request of this VM at the same server. */
-#define IN_FLIGHT_COST 60
+/* Load up to this share of the slots costs little, in thousandths. */
+#define FREE_LOAD 600
+/* Cost of the last free slot, beyond FREE_LOAD: some servers slow down. */
+#define NEARLY_FULL_COST 60
+/* Cost of waiting for one whole round of a server's slots. */
+#define ROUND_COST 450
 #define WARM_UP_COST 300
 /* An ejected server that the floor keeps in use. */
 #define SUSPECT_COST 2000
-/* Spreads the first choices of VMs with the same view. */
-#define JITTER 20
+/* Spreads the choices of VMs with the same view. */
+#define JITTER 30
 
 struct view {
 	struct edge *e;
@@ -47,16 +53,27 @@
 	return kb * REGION_COST_PER_KB;
 }
 
+static int64_t load_cost(const struct view *v, const struct srv_row *s)
+{
+	int64_t load = load_of(v->e, s);
+
+	if (load <= FREE_LOAD)
+		return load * JITTER / FREE_LOAD;
+	if (load < 1000)
+		return JITTER + (load - FREE_LOAD) * NEARLY_FULL_COST /
+					(1000 - FREE_LOAD);
+	return JITTER + NEARLY_FULL_COST + (load - 1000) * ROUND_COST / 1000;
+}
+
 static int64_t cost(const struct view *v, const struct srv_row *s)
 {
-	int64_t c = distance_cost(v, s);
+	int64_t c = distance_cost(v, s) + load_cost(v, s);
 
-	c += (int64_t)s->in_flight * IN_FLIGHT_COST;
 	if (!s->idle_links)
 		c += CONNECT_COST;
 	if (s->warm_until_ns > v->e->ev.now_ns)
 		c += WARM_UP_COST;
-	if (s->suspect)
+	if (hlth_is_out(v->e, s))
 		c += SUSPECT_COST;
 	return c + (int64_t)(edge_random(v->e) % JITTER);
 }
@@ -71,7 +88,7 @@
 		if (s->service != service || s->state != SRV_READY)
 			continue;
 		listed += s->slots;
-		in_use += s->suspect ? 0 : s->slots;
+		in_use += hlth_is_out(e, s) ? 0 : s->slots;
 	}
 	return (int64_t)in_use * 1000 < e->set.floor_permille * listed;
 }
@@ -89,7 +106,7 @@
 		if (s->service != v->req->service || s->state != SRV_READY ||
 		    was_tried(v->req, s->key))
 			continue;
-		if (s->suspect && !v->below_floor)
+		if (hlth_is_out(v->e, s) && !v->below_floor)
 			continue;
 		if (s->full_until_ns > v->e->ev.now_ns) {
 			out->result = PICK_FULL;
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -35,6 +35,7 @@
 	tab_init(&e->links, sizeof(struct link_row));
 	tab_init(&e->members, sizeof(struct mem_row));
 	tab_init(&e->calls, sizeof(struct call_row));
+	tab_init(&e->far, sizeof(struct far_row));
 	idx_init(&e->server_by_key);
 	idx_init(&e->member_by_key);
 	e->set.floor_permille = 500;
@@ -63,6 +64,7 @@
 	tab_free(&e->links);
 	tab_free(&e->members);
 	tab_free(&e->calls);
+	tab_free(&e->far);
 	idx_free(&e->server_by_key);
 	idx_free(&e->member_by_key);
 	conf_free(e->conf);
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -53,15 +53,14 @@
 	add(c, "a.example", "/x/y/");
 	add(c, "b.example", "/");
 	for (i = 0; i < COUNT(cases); i++) {
-		const struct conf_route *r =
-			conf_find(c, str_from(cases[i].host),
-				  str_from(cases[i].path));
+		const struct conf_route *r = conf_find(
+			c, str_from(cases[i].host), str_from(cases[i].path));
 
 		if (!r != !cases[i].prefix ||
 		    (r && !str_eq(r->prefix, str_from(cases[i].prefix))))
 			fail_msg("%s%s: found %.*s", cases[i].host,
-				 cases[i].path, STR_FMT(r ? r->prefix
-							  : STR("none")));
+				 cases[i].path,
+				 STR_FMT(r ? r->prefix : STR("none")));
 	}
 	conf_free(c);
 }
@@ -72,8 +71,7 @@
 	static const struct {
 		uint32_t weights[3];
 		uint32_t count;
-	} cases[] = {
-		{{90, 10}, 2}, {{1, 1, 2}, 3}, {{0, 5}, 2}, {{7}, 1}};
+	} cases[] = {{{90, 10}, 2}, {{1, 1, 2}, 3}, {{0, 5}, 2}, {{7}, 1}};
 	static const char *const names[] = {"s0", "s1", "s2"};
 	size_t i, k, draws = 10000;
 
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -192,9 +192,9 @@
 		if (p.result != cases[i].result)
 			fail_msg("%s: result %d", cases[i].name, p.result);
 		if (cases[i].chosen >= 0)
-			assert_ptr_equal(tab_get(&e.servers, p.server),
-					 tab_at(&e.servers,
-						(uint32_t)cases[i].chosen));
+			assert_ptr_equal(
+				tab_get(&e.servers, p.server),
+				tab_at(&e.servers, (uint32_t)cases[i].chosen));
 		fix_free(&e);
 	}
 }
@@ -208,7 +208,7 @@
 		int wanted;
 		int granted;
 	} cases[] = {
-		{0, 1, 20, 10},	  {0, 10, 20, 1},   {100, 10, 50, 21},
+		{0, 1, 20, 10},	  {0, 10, 20, 1},	{100, 10, 50, 21},
 		{100, 1, 10, 10}, {1000, 10, 500, 201},
 	};
 	size_t i;
