Place by fresh proof and admit by load and objective

Requests that can still meet their objective go first, urgent ones before others; late ones take free slots and are refused as not run a second past their objective. Unsafe work prefers servers with a fresh proof, repeatable work those without one.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -29,9 +29,11 @@
 	int64_t half_since_ns;
 	/* Running mean of the time to a complete answer. */
 	int64_t mean_ns;
-	/* Servers listed, and those out of regular traffic. */
+	/* Servers of this region. */
 	uint32_t listed;
-	uint32_t suspects;
+	/* Recent ejections in this region; decays from ejections_ns. */
+	double ejections;
+	int64_t ejections_ns;
 };
 
 /* What the store says of a backend server. */
@@ -139,7 +141,9 @@
 	bool suspect;
 	int64_t suspect_ns;
 	int64_t next_trial_ns;
-	int64_t last_proof_ns;
+	int64_t last_trial_ns;
+	/* When a request was last taken without a failure. */
+	int64_t proof_ns;
 	uint32_t trial_successes;
 	uint32_t trial_failures;
 	/* Weight of recent failures; decays with time from score_ns. */
@@ -183,6 +187,8 @@
 	bool may_have_run;
 	/* This attempt tries an ejected server. */
 	bool trial;
+	/* The attempt has shown that its server takes work. */
+	bool proved;
 	/* The attempt was reported as stalled. */
 	bool stalled;
 	bool streaming;
@@ -290,6 +296,7 @@
 	uint64_t random_state;
 	/* Servers of the store were read at least once. */
 	bool servers_known;
+	bool servers_changed;
 	struct sync_state sync;
 	/* Number of the complete reading in progress. */
 	uint32_t read_mark;
--- /dev/null
+++ b/src/edge/gate.h
@@ -0,0 +1,38 @@
+#ifndef GATE_H
+#define GATE_H
+
+#include <stdint.h>
+
+/*
+ * Admission: whether a request goes to the best server now, waits at this VM,
+ * or is refused. For times when a service gets more work than it has slots:
+ * servers' own queues are first come, first served, and once they are long
+ * every answer is late. Requests that can still be answered within their
+ * objective go first, urgent ones before others; each VM keeps to that by a
+ * limit on the load that it adds to.
+ */
+enum gate_decision {
+	GATE_SEND,
+	GATE_WAIT,
+	/* It would not be served in time for its caller; not run. */
+	GATE_REFUSE,
+};
+
+struct gate_request {
+	/* Since the caller sent it. */
+	int64_t age_ns;
+	/* Time within which an answer has its full worth. */
+	int64_t objective_ns;
+	/* Time until no answer is of use. */
+	int64_t left_ns;
+	/* Mean time that the service takes. */
+	int64_t mean_ns;
+	/* 0 is the most urgent. */
+	uint32_t priority;
+	/* Of the best server, in thousandths of its slots; see load_of(). */
+	uint32_t load;
+};
+
+enum gate_decision gate_decide(const struct gate_request *r);
+
+#endif
--- a/src/edge/load.c
+++ b/src/edge/load.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "hlth.h"
 #include "mem.h"
 #include "news.h"
 #include "sync.h"
@@ -47,9 +48,36 @@
 	}
 }
 
+static uint32_t count_of(const struct load_report *r, uint64_t server)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->count; i++)
+		if (r->servers[i] == server)
+			return r->in_flight[i];
+	return 0;
+}
+
+/* More requests than before were taken since the last report. */
+static void note_proofs(struct edge *e, const struct load_report *before,
+			const struct load_report *now)
+{
+	uint32_t i;
+
+	for (i = 0; i < now->count; i++) {
+		struct srv_row *s =
+			tab_get(&e->servers,
+				idx_get(&e->server_by_key, now->servers[i]));
+
+		if (s && now->in_flight[i] > count_of(before, now->servers[i]))
+			hlth_prove(s, e->ev.now_ns - period(e));
+	}
+}
+
 void load_hear(struct edge *e, struct mem_row *from,
 	       const struct load_report *r)
 {
+	note_proofs(e, &from->load, r);
 	add_remote(e, &from->load, -1);
 	from->load = *r;
 	from->load_ns = e->ev.now_ns;
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -21,6 +21,11 @@
 /* Cost of waiting for one whole round of a server's slots. */
 #define ROUND_COST 450
 #define WARM_UP_COST 300
+/* Of a request that may not be repeated. */
+#define LOSS_COST 1700
+/* What a repeatable request gains by going where no proof is fresh. */
+#define PROOF_WORTH 400
+#define MAX_PROOF_WORTH 60
 /* An ejected server that the floor keeps in use. */
 #define SUSPECT_COST 2000
 /* Spreads the choices of VMs with the same view. */
@@ -65,9 +70,22 @@
 	return JITTER + NEARLY_FULL_COST + (load - 1000) * ROUND_COST / 1000;
 }
 
+/* What may be lost because the server has failed since its last proof. */
+static int64_t risk_cost(const struct view *v, const struct srv_row *s)
+{
+	double risk = hlth_risk(v->e, s);
+	int64_t c;
+
+	if (v->req->kind != CONF_SAFE)
+		return (int64_t)(risk * LOSS_COST);
+	/* Repeatable work is the cheapest way to a new proof. */
+	c = (int64_t)(risk * PROOF_WORTH);
+	return c < MAX_PROOF_WORTH ? -c : -MAX_PROOF_WORTH;
+}
+
 static int64_t cost(const struct view *v, const struct srv_row *s)
 {
-	int64_t c = distance_cost(v, s) + load_cost(v, s);
+	int64_t c = distance_cost(v, s) + load_cost(v, s) + risk_cost(v, s);
 
 	if (!s->idle_links)
 		c += CONNECT_COST;
@@ -168,5 +186,6 @@
 		return out;
 	out.result = PICK_FOUND;
 	out.server = tab_handle(&e->servers, (uint32_t)row);
+	out.load = load_of(e, tab_at(&e->servers, (uint32_t)row));
 	return out;
 }
--- a/src/edge/pick.h
+++ b/src/edge/pick.h
@@ -16,6 +16,8 @@
 	struct hnd server;
 	/* The server is ejected, and this request is its trial. */
 	bool trial;
+	/* Of the chosen server; see load_of(). */
+	uint32_t load;
 	int64_t retry_ns;
 };
 
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -5,6 +5,7 @@
 #include "bud.h"
 #include "cin.h"
 #include "ctr.h"
+#include "gate.h"
 #include "hlth.h"
 #include "logs.h"
 #include "pick.h"
@@ -32,6 +33,10 @@
 /* Weight of a new answer in the running mean, as its inverse. */
 #define MEAN_WEIGHT 16
 #define MEAN_START_NS (400 * NS_PER_MS)
+/* Pause between two looks at the load for a request that waits. */
+#define QUEUE_LOOK_NS (30 * NS_PER_MS)
+/* A request that was not reset within a round trip was taken. */
+#define TAKEN_NS (30 * NS_PER_MS)
 /* When to come back after a refusal. */
 #define RETRY_AFTER_NS (400 * NS_PER_MS)
 
@@ -246,6 +251,13 @@
 	strbuf_free(&out);
 }
 
+static int64_t mean_of(struct edge *e, const struct req_row *r)
+{
+	int64_t mean = edge_service(e, r->service)->mean_ns;
+
+	return mean ? mean : MEAN_START_NS;
+}
+
 static void wait_for_room(struct edge *e, struct req_row *r, int64_t until_ns)
 {
 	if (r->state != REQ_QUEUED)
@@ -271,6 +283,36 @@
 	refuse(e, r, r->may_have_run ? 502 : 503, why);
 }
 
+/* False when the request waits, or was refused. */
+static bool is_admitted(struct edge *e, struct req_row *r, uint32_t load)
+{
+	int64_t now = e->ev.now_ns;
+	struct gate_request g = {
+		.age_ns = now - r->start_ns,
+		.objective_ns = r->objective_ns ? r->objective_ns
+						: r->limit_ns - r->start_ns,
+		.left_ns = r->limit_ns - now,
+		.mean_ns = mean_of(e, r),
+		.priority = r->priority,
+		.load = load,
+	};
+
+	switch (gate_decide(&g)) {
+	case GATE_SEND:
+		return true;
+	case GATE_WAIT:
+		wait_for_room(
+			e, r,
+			now + QUEUE_LOOK_NS +
+				(int64_t)(edge_random(e) % QUEUE_LOOK_NS));
+		return false;
+	case GATE_REFUSE:
+	default:
+		give_up(e, r, "too much load");
+		return false;
+	}
+}
+
 static void try_send(struct edge *e, struct hnd h)
 {
 	struct req_row *r = get(e, h);
@@ -290,8 +332,11 @@
 		give_up(e, r, "no backend server");
 		return;
 	}
+	if (!pick.trial && !is_admitted(e, r, pick.load))
+		return;
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
+	r->proved = false;
 	r->trial = pick.trial;
 	if (r->tried_count < EDGE_MAX_TRIED)
 		r->tried[r->tried_count++] = s->key;
@@ -631,7 +676,7 @@
 
 static int64_t stall_age(struct edge *e, const struct req_row *r)
 {
-	int64_t age = edge_service(e, r->service)->mean_ns * STALL_MEANS;
+	int64_t age = mean_of(e, r) * STALL_MEANS;
 
 	return age > STALL_MIN_NS ? age : STALL_MIN_NS;
 }
@@ -657,12 +702,26 @@
 	refuse(e, r, r->may_have_run ? 504 : 503, "time limit reached");
 }
 
+static void prove(struct edge *e, struct req_row *r)
+{
+	struct srv_row *s;
+
+	if (r->state != REQ_SENT || r->proved ||
+	    e->ev.now_ns - r->sent_ns < TAKEN_NS)
+		return;
+	r->proved = true;
+	s = tab_get(&e->servers, r->server);
+	if (s)
+		hlth_prove(s, r->sent_ns);
+}
+
 static void tick_row(struct edge *e, struct hnd h, int64_t now_ns)
 {
 	struct req_row *r = get(e, h);
 
 	if (!r || r->state == REQ_RELAY)
 		return;
+	prove(e, r);
 	if (now_ns >= r->limit_ns)
 		on_limit(e, r);
 	else if (r->state == REQ_CONNECTING &&
--- a/src/edge/srv.c
+++ b/src/edge/srv.c
@@ -77,6 +77,7 @@
 		log_server(s, added ? "listed"
 				    : (r->draining ? "draining" : "ready"));
 	}
+	e->servers_changed = true;
 	s->service = r->service;
 	s->zone = r->zone;
 	s->region = eset_region_key(&e->set, r->zone);
@@ -123,6 +124,20 @@
 	}
 }
 
+static void count_listed(struct edge *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->services.len; i++)
+		((struct svc_row *)tab_at(&e->services, i))->listed = 0;
+	for (i = 0; i < e->servers.len; i++) {
+		const struct srv_row *s = tab_at(&e->servers, i);
+
+		if (s->state == SRV_READY && s->region == e->region)
+			edge_service(e, s->service)->listed++;
+	}
+}
+
 void srv_tick(struct edge *e, int64_t now_ns)
 {
 	uint32_t i = e->servers.len;
@@ -139,7 +154,11 @@
 			continue;
 		idx_del(&e->server_by_key, s->key);
 		tab_del(&e->servers, tab_handle(&e->servers, i));
+		e->servers_changed = true;
 	}
+	if (e->servers_changed)
+		count_listed(e);
+	e->servers_changed = false;
 }
 
 int64_t srv_next_due(const struct edge *e)
--- /dev/null
+++ b/tests/test_edge_state.c
@@ -0,0 +1,435 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "cdc.h"
+#include "edge_fixture.h"
+#include "load.h"
+#include "sync.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+static struct edge e;
+
+/* Guards against an old row that undoes a newer one, and against a server
+ * that is used after its row is gone. */
+static void test_server_rows(void **state)
+{
+	/* Each step is a letter and a version: r(eady), d(raining), b(orn
+	 * again), m(issing). */
+	static const struct {
+		const char *name;
+		const char *steps;
+		/* SRV_READY, SRV_DRAINING, or -1 for no row. */
+		int end;
+	} cases[] = {
+		{"listed", "r1", SRV_READY},
+		{"draining", "r1d2", SRV_DRAINING},
+		{"older report", "d2r1", SRV_DRAINING},
+		{"draining taken back", "d1r2", SRV_READY},
+		{"removed", "r1m2", -1},
+		{"older removal", "r3m2", SRV_READY},
+		{"listed again", "r1m2r3", SRV_READY},
+		{"restarted under its id", "d1b2", SRV_READY},
+		{"never listed", "m1", -1},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct srv_row *s;
+		const char *p;
+
+		fix_init(&e);
+		for (p = cases[i].steps; *p; p += 2) {
+			struct srv_report r =
+				fix_report("i-0", "z0", (uint64_t)(p[1] - '0'));
+
+			r.draining = *p == 'd';
+			r.born_ms = *p == 'b' ? 2 : 1;
+			if (*p == 'm')
+				srv_missing(&e, r.id, r.version);
+			else
+				srv_report(&e, &r);
+		}
+		srv_tick(&e, e.ev.now_ns);
+		s = srv_find(&e, edge_key(STR("i-0")), NULL);
+		if ((s ? (int)s->state : -1) != cases[i].end)
+			fail_msg("%s: state %d", cases[i].name,
+				 s ? (int)s->state : -1);
+		fix_free(&e);
+	}
+}
+
+/* Guards against servers that are dropped because their rows lapsed while the
+ * store was away, and against a drain that is late for an outage that was
+ * none: a VM that reads for the first time, or that fails once. */
+static void test_missing_after_outage(void **state)
+{
+	static const struct {
+		const char *name;
+		/* How long readings failed; -1 for no reading before. */
+		int failed_ms;
+		bool held;
+	} cases[] = {
+		{"first reading", -1, false},
+		{"no failure", 0, false},
+		{"one failure", 300, false},
+		{"outage", 5000, true},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		fix_init(&e);
+		fix_server(&e, "i-0", "z0");
+		if (cases[i].failed_ms >= 0)
+			edge_set_store(&e, true);
+		if (cases[i].failed_ms > 0) {
+			edge_set_store(&e, false);
+			fix_step(&e, cases[i].failed_ms * NS_PER_MS);
+		}
+		edge_set_store(&e, true);
+		srv_missing(&e, STR("i-0"), 2);
+		srv_tick(&e, e.ev.now_ns);
+		if (!e.servers.len == cases[i].held)
+			fail_msg("%s: held %d", cases[i].name,
+				 (int)e.servers.len);
+		fix_step(&e, 2500 * NS_PER_MS);
+		srv_tick(&e, e.ev.now_ns);
+		assert_int_equal(e.servers.len, 0);
+		fix_free(&e);
+	}
+}
+
+/* Guards against records of an earlier start that undo newer ones, and against
+ * addresses of VMs that leave, are silent or far away. */
+static void test_addresses(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *zone;
+		const char *region;
+		enum { READY, LEAVING, STARTING, SILENT } near;
+		/* Zone of the VMs that are named. */
+		const char *named;
+	} cases[] = {
+		{"own zone", "z1", "r0", READY, "z1"},
+		{"leaving", "z1", "r0", LEAVING, "z0"},
+		{"not ready", "z1", "r0", STARTING, "z0"},
+		{"silent", "z1", "r0", SILENT, "z0"},
+		{"unknown zone", "z9", "r1", READY, "z2"},
+		{"unknown region", "z9", "r9", READY, NULL},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct mem_row *out[8];
+		struct mem_record r = fix_record("vm1", "z1", "r0");
+		size_t n;
+
+		fix_init(&e);
+		mem_self(&e)->ready = true;
+		r.leaving = cases[i].near == LEAVING;
+		r.ready = cases[i].near != STARTING;
+		r.beat = 2;
+		mem_hear(&e, &r);
+		/* An older record changes nothing. */
+		r = fix_record("vm1", "z0", "r0");
+		mem_hear(&e, &r);
+		if (cases[i].near == SILENT)
+			fix_step(&e, 6 * NS_PER_S);
+		r = fix_record("vm2", "z2", "r1");
+		mem_hear(&e, &r);
+		n = mem_choose(&e, str_from(cases[i].zone),
+			       str_from(cases[i].region), out, 8);
+		if (!n)
+			fail_msg("%s: no address", cases[i].name);
+		if (cases[i].named &&
+		    out[0]->zone != edge_key(str_from(cases[i].named)))
+			fail_msg("%s: wrong zone", cases[i].name);
+		fix_free(&e);
+	}
+}
+
+static struct {
+	int config;
+	int servers;
+	uint64_t after;
+	int64_t wait_ns;
+} reads;
+
+static void read_config(void *ctx, uint64_t after, int64_t wait_ns)
+{
+	(void)ctx;
+	(void)after;
+	reads.config++;
+	reads.wait_ns = wait_ns;
+}
+
+static void read_servers(void *ctx, uint64_t after)
+{
+	(void)ctx;
+	reads.servers++;
+	reads.after = after;
+}
+
+static void start_sync(void)
+{
+	memset(&reads, 0, sizeof(reads));
+	sync_start(&e, &(struct sync_source){
+			       .read_config = read_config,
+			       .read_servers = read_servers,
+		       });
+}
+
+static struct conf *conf_of(uint64_t version)
+{
+	struct conf *c = conf_new();
+
+	c->version = version;
+	return c;
+}
+
+/* Lets timers run for a time, in steps of 10 ms. */
+static void run_for(int64_t ns)
+{
+	int64_t end = e.ev.now_ns + ns;
+
+	while (e.ev.now_ns < end) {
+		fix_step(&e, 10 * NS_PER_MS);
+		tmr_run(&e.ev.timers, e.ev.now_ns);
+	}
+}
+
+/* Guards against a fleet that calls the store from every VM, and against
+ * drains that nobody reads because the reader is gone. */
+static void test_who_reads(void **state)
+{
+	static const struct {
+		/* VMs with a larger link, which come before this one. */
+		int before;
+		/* Longest time to the first reading without a notice. */
+		int reads_within_ms;
+		int not_before_ms;
+	} cases[] = {
+		{0, 700, 0},
+		{1, 1100, 900},
+		{2, 1350, 1100},
+		{5, 1900, 1400},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		int k;
+
+		fix_init(&e);
+		for (k = 0; k < cases[i].before; k++) {
+			char id[16];
+			struct mem_record r;
+
+			snprintf(id, sizeof(id), "vm%d", k + 1);
+			r = fix_record(id, "z0", "r0");
+			r.link_mbps = 1000;
+			r.ready = false;
+			mem_hear(&e, &r);
+		}
+		edge_set_conf(&e, conf_of(1));
+		e.servers_known = true;
+		start_sync();
+		e.sync.servers_version = 7;
+		assert_int_equal(sync_rank(&e), cases[i].before);
+		run_for(cases[i].not_before_ms * NS_PER_MS);
+		if (reads.servers && cases[i].not_before_ms)
+			fail_msg("rank %d reads early", cases[i].before);
+		run_for((cases[i].reads_within_ms - cases[i].not_before_ms) *
+			NS_PER_MS);
+		if (reads.servers != 1 || reads.after != 7)
+			fail_msg("rank %d: %d readings", cases[i].before,
+				 reads.servers);
+		fix_free(&e);
+	}
+}
+
+/* Guards against a reading of the configuration whose answer is lost: it must
+ * end before the bound for a change of 2 s (kanal-tor, trouble-3). */
+static void test_config_wait(void **state)
+{
+	(void)state;
+	fix_init(&e);
+	edge_set_conf(&e, conf_of(1));
+	e.servers_known = true;
+	start_sync();
+	run_for(400 * NS_PER_MS);
+	assert_int_equal(reads.config, 1);
+	assert_true(reads.wait_ns <= 2 * NS_PER_S);
+	sync_config_done(&e, SYNC_FAILED, 0);
+	run_for(NS_PER_S);
+	assert_int_equal(reads.config, 2);
+	/* The next reading begins at once after an answer. */
+	sync_config_done(&e, SYNC_OK, 9);
+	assert_int_equal(reads.config, 3);
+	assert_int_equal(e.sync.config_version, 9);
+	fix_free(&e);
+}
+
+static struct cdc_row row_of(const char *id, uint64_t version, bool draining)
+{
+	struct cdc_row row = {.report = fix_report(id, "z0", version)};
+
+	row.report.draining = draining;
+	return row;
+}
+
+/* Guards against changes that are lost between notices, and against notices
+ * that undo what is newer. */
+static void test_notices(void **state)
+{
+	static const struct {
+		const char *name;
+		uint64_t from, to;
+		bool applied;
+		/* The VM asks another one for its state. */
+		bool fetches;
+		uint64_t version;
+	} cases[] = {
+		{"next", 5, 6, true, false, 6},
+		{"repeated", 3, 6, true, false, 6},
+		{"gap", 6, 8, false, true, 5},
+		{"old", 1, 3, false, false, 5},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct mem_record r = fix_record("vm1", "z0", "r0");
+		struct sync_notice n = {
+			.config = 1,
+			.from = cases[i].from,
+			.to = cases[i].to,
+			.row_count = 1,
+			.rows = {row_of("i-0", cases[i].to, true)},
+		};
+		const struct srv_row *s;
+
+		fix_init(&e);
+		fix_server(&e, "i-0", "z0");
+		mem_hear(&e, &r);
+		edge_set_conf(&e, conf_of(1));
+		e.servers_known = true;
+		start_sync();
+		e.sync.servers_version = 5;
+		sync_hear(&e, tab_at(&e.members, 1), &n);
+		s = srv_find(&e, edge_key(STR("i-0")), NULL);
+		if ((s->state == SRV_DRAINING) != cases[i].applied ||
+		    e.sync.fetch_planned != cases[i].fetches ||
+		    e.sync.servers_version != cases[i].version)
+			fail_msg("%s: state %d, fetch %d, version %llu",
+				 cases[i].name, s->state, e.sync.fetch_planned,
+				 (unsigned long long)e.sync.servers_version);
+		fix_free(&e);
+	}
+}
+
+/* Guards against a state that loses or changes something on its way to
+ * another VM, and against damaged ones. */
+static void test_state(void **state)
+{
+	struct conf_part parts[2] = {{11, 90}, {12, 10}};
+	struct conf_route route = {
+		.name = STR("r"),
+		.host = STR("h.example"),
+		.prefix = STR("/p/"),
+		.kind = CONF_UPLOAD,
+		.timeout_ns = 5,
+		.objective_ns = 6,
+		.attempts = 2,
+		.priority = 3,
+	};
+	struct conf_service service = {
+		.name = STR("s"), .health_path = STR("/h"), .max_conns = 9};
+	const struct conf_route *got;
+	struct strbuf bytes;
+	struct conf *c = conf_of(4);
+	size_t len;
+
+	(void)state;
+	conf_add_route(c, &route, parts, 2);
+	conf_add_service(c, &service);
+	fix_init(&e);
+	fix_server(&e, "i-0", "z0")->state = SRV_DRAINING;
+	edge_set_conf(&e, c);
+	sync_set_versions(&e, 3, 8);
+	strbuf_init(&bytes);
+	cdc_write_state(&e, 0, &bytes);
+	fix_free(&e);
+
+	for (len = 0; len < bytes.len; len++) {
+		fix_init(&e);
+		assert_int_equal(
+			cdc_read_state(&e, (struct str){bytes.ptr, len}),
+			ERR_INVALID);
+		fix_free(&e);
+	}
+	fix_init(&e);
+	fix_server(&e, "i-9", "z0");
+	assert_int_equal(cdc_read_state(&e, strbuf_view(&bytes)), ERR_OK);
+	got = conf_find(e.conf, STR("h.example"), STR("/p/x"));
+	assert_non_null(got);
+	assert_int_equal(got->kind, CONF_UPLOAD);
+	assert_int_equal(got->priority, 3);
+	assert_int_equal(got->part_count, 2);
+	assert_int_equal(e.conf->parts[got->part_first + 1].weight, 10);
+	assert_int_equal(e.conf->services[0].max_conns, 9);
+	assert_int_equal(srv_find(&e, edge_key(STR("i-0")), NULL)->state,
+			 SRV_DRAINING);
+	/* A server that the state does not list is gone. */
+	srv_tick(&e, e.ev.now_ns);
+	assert_null(srv_find(&e, edge_key(STR("i-9")), NULL));
+	assert_int_equal(e.sync.servers_version, 8);
+	fix_free(&e);
+	strbuf_free(&bytes);
+}
+
+/* Guards against loads that are counted twice or outlive their VM. */
+static void test_loads(void **state)
+{
+	struct mem_record r = fix_record("vm1", "z0", "r0");
+	struct load_report report = {.count = 1, .in_flight = {3}};
+	struct srv_row *s;
+
+	(void)state;
+	fix_init(&e);
+	s = fix_server(&e, "i-0", "z0");
+	mem_hear(&e, &r);
+	report.servers[0] = s->key;
+	load_hear(&e, tab_at(&e.members, 1), &report);
+	load_hear(&e, tab_at(&e.members, 1), &report);
+	s->in_flight = 1;
+	/* 4 requests in 6 slots. */
+	assert_int_equal(load_of(&e, s), 666);
+	fix_step(&e, 10 * NS_PER_S);
+	load_expire(&e);
+	assert_int_equal(load_of(&e, s), 166);
+	fix_free(&e);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_server_rows),
+		cmocka_unit_test(test_missing_after_outage),
+		cmocka_unit_test(test_addresses),
+		cmocka_unit_test(test_who_reads),
+		cmocka_unit_test(test_config_wait),
+		cmocka_unit_test(test_notices),
+		cmocka_unit_test(test_state),
+		cmocka_unit_test(test_loads),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,146 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "gate.h"
+#include "tmr.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+/* Guards against queues in which every answer is late, against urgent work
+ * behind other work, and against a caller that waits for a refusal. */
+static void test_decisions(void **state)
+{
+	static const struct {
+		const char *name;
+		int age_ms, objective_ms, left_ms, mean_ms;
+		uint32_t priority, load;
+		enum gate_decision decision;
+	} cases[] = {
+		{"idle", 0, 1500, 5000, 400, 1, 0, GATE_SEND},
+		{"all slots taken", 0, 1500, 5000, 400, 0, 1000, GATE_SEND},
+		{"urgent before others", 0, 1500, 5000, 400, 0, 1200,
+		 GATE_SEND},
+		{"others behind urgent", 0, 1500, 5000, 400, 2, 1200,
+		 GATE_WAIT},
+		{"long queue", 0, 1500, 5000, 400, 0, 2000, GATE_WAIT},
+		{"late, slot free", 1400, 1500, 3600, 400, 1, 800, GATE_SEND},
+		{"late, no slot free", 1400, 1500, 3600, 400, 1, 1000,
+		 GATE_WAIT},
+		{"late for long", 2600, 1500, 2400, 400, 1, 1000, GATE_REFUSE},
+		{"late for long, slot free", 2600, 1500, 2400, 400, 1, 500,
+		 GATE_SEND},
+		{"no time left", 800, 1500, 150, 400, 1, 1200, GATE_REFUSE},
+		{"no time left, slot free", 800, 1500, 150, 400, 1, 300,
+		 GATE_SEND},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct gate_request r = {
+			.age_ns = cases[i].age_ms * NS_PER_MS,
+			.objective_ns = cases[i].objective_ms * NS_PER_MS,
+			.left_ns = cases[i].left_ms * NS_PER_MS,
+			.mean_ns = cases[i].mean_ms * NS_PER_MS,
+			.priority = cases[i].priority,
+			.load = cases[i].load,
+		};
+
+		if (gate_decide(&r) != cases[i].decision)
+			fail_msg("%s: decision %d", cases[i].name,
+				 gate_decide(&r));
+	}
+}
+
+/* One server group that gets 1.3 times what it can do for 10 s, played with
+ * and without admission: callers must get more answers within the objective
+ * than from a queue without bound. */
+#define SLOTS 60
+#define WORK_MS 400
+#define OBJECTIVE_MS 1500
+#define MAX_WAITING 8192
+
+struct play {
+	int in_time;
+	int late;
+	int refused;
+};
+
+static struct play play_overload(int use_gate)
+{
+	static int waiting[MAX_WAITING];
+	static int ends[MAX_WAITING];
+	int waiting_count = 0, running = 0, now, i;
+	struct play p = {0};
+	double due = 0;
+
+	for (now = 0; now < 20000; now++) {
+		for (i = 0; i < running; i++)
+			if (ends[i] <= now)
+				ends[i--] = ends[--running];
+		if (now < 10000)
+			due += 1.3 * SLOTS / WORK_MS;
+		for (; due >= 1; due--)
+			waiting[waiting_count++] = now;
+		for (i = 0; i < waiting_count; i++) {
+			struct gate_request r = {
+				.age_ns = (now - waiting[i]) * NS_PER_MS,
+				.objective_ns = OBJECTIVE_MS * NS_PER_MS,
+				.left_ns =
+					(5000 - now + waiting[i]) * NS_PER_MS,
+				.mean_ns = WORK_MS * NS_PER_MS,
+				.load = running * 1000 / SLOTS,
+			};
+			enum gate_decision d = running < SLOTS ? GATE_SEND
+							       : GATE_WAIT;
+
+			if (use_gate && d == GATE_SEND)
+				d = gate_decide(&r);
+			else if (use_gate && gate_decide(&r) == GATE_REFUSE)
+				d = GATE_REFUSE;
+			if (d == GATE_WAIT)
+				continue;
+			if (d == GATE_REFUSE)
+				p.refused++;
+			else if (now + WORK_MS - waiting[i] <= OBJECTIVE_MS)
+				p.in_time++;
+			else
+				p.late++;
+			if (d == GATE_SEND)
+				ends[running++] = now + WORK_MS;
+			waiting_count--;
+			for (int k = i; k < waiting_count; k++)
+				waiting[k] = waiting[k + 1];
+			i--;
+		}
+	}
+	return p;
+}
+
+static void test_overload(void **state)
+{
+	struct play queue = play_overload(0), gate = play_overload(1);
+
+	(void)state;
+	print_message("queue: %d in time, %d late; gate: %d in time, %d late, "
+		      "%d refused\n",
+		      queue.in_time, queue.late, gate.in_time, gate.late,
+		      gate.refused);
+	assert_true(gate.in_time > queue.in_time);
+	/* Capacity is not left unused while requests wait. */
+	assert_true(gate.in_time + gate.late >=
+		    (queue.in_time + queue.late) * 7 / 10);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_decisions),
+		cmocka_unit_test(test_overload),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
