--- a/src/edge/gate.c
+++ b/src/edge/gate.c
@@ -1,5 +1,7 @@
 #include "gate.h"
 
+#include <stdbool.h>
+
 #include "tmr.h"
 
 /* Load up to which the most urgent requests are sent, in thousandths: the
@@ -10,23 +12,27 @@
 #define LAST_PRIORITY 3
 /* Load up to which a request is sent that will be late anyway. */
 #define LATE_LOAD 900
-/* How long a request waits beyond its objective. */
-#define LATE_WAIT_NS NS_PER_S
+/* True while an answer can be expected within the objective. */
+static bool can_be_in_time(const struct gate_request *r)
+{
+	return r->age_ns <= r->objective_ns - r->mean_ns;
+}
 
-enum gate_decision gate_decide(const struct gate_request *r)
+uint32_t gate_max_load(const struct gate_request *r)
 {
 	uint32_t priority = r->priority < LAST_PRIORITY ? r->priority
 							: LAST_PRIORITY;
-	int64_t in_time = r->objective_ns - r->mean_ns;
 
+	return can_be_in_time(r) ? URGENT_LOAD - PRIORITY_STEP * priority
+				 : LATE_LOAD;
+}
+
+enum gate_decision gate_decide(const struct gate_request *r)
+{
 	if (r->left_ns < r->mean_ns / 2 && r->load >= LATE_LOAD)
 		return GATE_REFUSE;
-	if (r->age_ns <= in_time)
-		return r->load < URGENT_LOAD - PRIORITY_STEP * priority
-			       ? GATE_SEND
-			       : GATE_WAIT;
-	if (r->load < LATE_LOAD)
+	if (r->load < gate_max_load(r))
 		return GATE_SEND;
-	return r->age_ns < r->objective_ns + LATE_WAIT_NS ? GATE_WAIT
-							  : GATE_REFUSE;
+	return can_be_in_time(r) || r->age_ns < r->objective_ns ? GATE_WAIT
+								: GATE_REFUSE;
 }
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -29,10 +29,12 @@
 	int64_t mean_ns;
 	/* 0 is the most urgent. */
 	uint32_t priority;
-	/* Of the best server, in thousandths of its slots; see load_of(). */
+	/* Of the chosen server, in thousandths of its slots; see load_of(). */
 	uint32_t load;
 };
 
+/* Load from which a server gets no such request; load is not looked at. */
+uint32_t gate_max_load(const struct gate_request *r);
 enum gate_decision gate_decide(const struct gate_request *r);
 
 #endif
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -139,6 +139,8 @@
 	plan_trial(e, s);
 	ctr_add(CTR_EJECTIONS, 1);
 	log_change(s, "eject", outcome, own);
+	if (own && s->region == e->region)
+		news_ejection(e, s);
 }
 
 static void succeed(struct edge *e, struct srv_row *s, bool own)
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -53,7 +53,9 @@
 	NEWS_LOAD,
 	/* State of a region; a VM that hears it from there passes it on. */
 	NEWS_SUMMARY,
-	NEWS_LAST = NEWS_SUMMARY,
+	/* A server of the sender's region was ejected; passed on likewise. */
+	NEWS_EJECTION,
+	NEWS_LAST = NEWS_EJECTION,
 };
 
 struct datagram {
@@ -143,6 +145,37 @@
 	send_region(e, &d);
 }
 
+static void put_ejection(struct edge *e, struct datagram *d, uint64_t server)
+{
+	begin(e, d, NEWS_EJECTION, 1);
+	mpk_put_uint(&d->out, server);
+}
+
+void news_ejection(struct edge *e, const struct srv_row *s)
+{
+	struct datagram d;
+
+	put_ejection(e, &d, s->key);
+	send_far(e, &d);
+}
+
+static void hear_ejection(struct edge *e, struct mpk_in *in, uint64_t sender)
+{
+	uint64_t key = mpk_get_uint(in, 1, UINT64_MAX);
+	const struct mem_row *from =
+		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	struct srv_row *s = srv_find(e, key, NULL);
+	struct datagram d;
+
+	if (in->bad || !s || !from || s->region == e->region)
+		return;
+	s->ejected_there = true;
+	if (from->region == e->region)
+		return;
+	put_ejection(e, &d, key);
+	send_region(e, &d);
+}
+
 void news_trial(struct edge *e, const struct srv_row *s)
 {
 	struct datagram d;
@@ -504,6 +537,8 @@
 		hear_load(e, &in, sender);
 	else if (kind == NEWS_SUMMARY)
 		hear_summary(e, &in, sender);
+	else if (kind == NEWS_EJECTION)
+		hear_ejection(e, &in, sender);
 	else
 		hear_server(e, &in, (enum message)kind);
 	if (in.bad)
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -26,8 +26,14 @@
 /* What a repeatable request gains by going where no proof is fresh. */
 #define PROOF_WORTH 400
 #define MAX_PROOF_WORTH 60
-/* An ejected server that the floor keeps in use. */
-#define SUSPECT_COST 2000
+/* A server to which the request would not be admitted; it costs more than
+ * any distance. */
+#define OVERLOAD_COST 100000
+/* An ejected server that the floor keeps in use: after one that would not
+ * admit the request while its failure is new, before it later. */
+#define SUSPECT_COST 200000
+#define OLD_SUSPECT_COST 50000
+#define OLD_SUSPECT_NS NS_PER_S
 /* Spreads the choices of VMs with the same view. */
 #define JITTER 30
 
@@ -35,6 +41,7 @@
 	struct edge *e;
 	const struct req_row *req;
 	bool below_floor;
+	uint32_t max_load;
 };
 
 static bool was_tried(const struct req_row *req, uint64_t key)
@@ -91,8 +98,12 @@
 		c += CONNECT_COST;
 	if (s->warm_until_ns > v->e->ev.now_ns)
 		c += WARM_UP_COST;
+	if (load_of(v->e, s) >= v->max_load)
+		c += OVERLOAD_COST;
 	if (hlth_is_out(v->e, s))
-		c += SUSPECT_COST;
+		c += v->e->ev.now_ns - s->last_trial_ns > OLD_SUSPECT_NS
+			     ? OLD_SUSPECT_COST
+			     : SUSPECT_COST;
 	return c + (int64_t)(edge_random(v->e) % JITTER);
 }
 
@@ -166,9 +177,10 @@
 	return best;
 }
 
-struct pick pick_server(struct edge *e, const struct req_row *req)
+struct pick pick_server(struct edge *e, const struct req_row *req,
+			uint32_t max_load)
 {
-	struct view v = {.e = e, .req = req};
+	struct view v = {.e = e, .req = req, .max_load = max_load};
 	struct pick out = {.result = PICK_NONE};
 	int64_t row;
 
--- a/src/edge/pick.h
+++ b/src/edge/pick.h
@@ -24,8 +24,10 @@
 /*
  * Chooses the backend server for a request: the cheapest by distance, load,
  * warm-up and connections among those in use. A server that is ejected gets
- * only trials, unless fewer than the floor are left in use.
+ * only trials, unless fewer than the floor are left in use. Servers below
+ * max_load go before all others.
  */
-struct pick pick_server(struct edge *e, const struct req_row *req);
+struct pick pick_server(struct edge *e, const struct req_row *req,
+			uint32_t max_load);
 
 #endif
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -283,27 +283,31 @@
 	refuse(e, r, r->may_have_run ? 502 : 503, why);
 }
 
-/* False when the request waits, or was refused. */
-static bool is_admitted(struct edge *e, struct req_row *r, uint32_t load)
+static struct gate_request gate_of(struct edge *e, const struct req_row *r)
 {
 	int64_t now = e->ev.now_ns;
-	struct gate_request g = {
+
+	return (struct gate_request){
 		.age_ns = now - r->start_ns,
 		.objective_ns = r->objective_ns ? r->objective_ns
 						: r->limit_ns - r->start_ns,
 		.left_ns = r->limit_ns - now,
 		.mean_ns = mean_of(e, r),
 		.priority = r->priority,
-		.load = load,
 	};
+}
 
-	switch (gate_decide(&g)) {
+/* False when the request waits, or was refused. */
+static bool is_admitted(struct edge *e, struct req_row *r,
+			const struct gate_request *g)
+{
+	switch (gate_decide(g)) {
 	case GATE_SEND:
 		return true;
 	case GATE_WAIT:
 		wait_for_room(
 			e, r,
-			now + QUEUE_LOOK_NS +
+			e->ev.now_ns + QUEUE_LOOK_NS +
 				(int64_t)(edge_random(e) % QUEUE_LOOK_NS));
 		return false;
 	case GATE_REFUSE:
@@ -316,6 +320,7 @@
 static void try_send(struct edge *e, struct hnd h)
 {
 	struct req_row *r = get(e, h);
+	struct gate_request gate = gate_of(e, r);
 	struct srv_row *s;
 	struct pick pick;
 
@@ -323,7 +328,7 @@
 		refuse(e, r, 503, "no time left");
 		return;
 	}
-	pick = pick_server(e, r);
+	pick = pick_server(e, r, gate_max_load(&gate));
 	if (pick.result == PICK_FULL) {
 		wait_for_room(e, r, pick.retry_ns);
 		return;
@@ -332,7 +337,8 @@
 		give_up(e, r, "no backend server");
 		return;
 	}
-	if (!pick.trial && !is_admitted(e, r, pick.load))
+	gate.load = pick.load;
+	if (!pick.trial && !is_admitted(e, r, &gate))
 		return;
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -73,18 +73,18 @@
 	fix_server(&e, "i-2", "z0");
 	sick = fix_server(&e, "i-0", "z0");
 	hlth_note(&e, sick, HLTH_BROKEN);
-	assert_false(pick_server(&e, &safe).trial);
+	assert_false(pick_server(&e, &safe, UINT32_MAX).trial);
 	fix_step(&e, 1200 * NS_PER_MS);
-	p = pick_server(&e, &unsafe);
+	p = pick_server(&e, &unsafe, UINT32_MAX);
 	assert_false(p.trial);
 	assert_ptr_not_equal(tab_get(&e.servers, p.server), sick);
 	while (sick->suspect && trials < 10) {
-		p = pick_server(&e, &safe);
+		p = pick_server(&e, &safe, UINT32_MAX);
 		assert_true(p.trial);
 		assert_ptr_equal(tab_get(&e.servers, p.server), sick);
 		hlth_begin_trial(&e, sick);
 		/* A second request does not try it, too. */
-		assert_false(pick_server(&e, &safe).trial);
+		assert_false(pick_server(&e, &safe, UINT32_MAX).trial);
 		hlth_note(&e, sick, HLTH_SUCCESS);
 		trials++;
 	}
@@ -123,7 +123,7 @@
 				hlth_note(&e, s, HLTH_BROKEN);
 		}
 		for (k = 0; k < cases[i].listed; k++) {
-			struct pick p = pick_server(&e, &r);
+			struct pick p = pick_server(&e, &r, UINT32_MAX);
 			struct srv_row *s;
 
 			if (p.result != PICK_FOUND)
@@ -188,7 +188,7 @@
 			s->full_until_ns = e.ev.now_ns + NS_PER_S;
 		if (cases[i].first == BUSY)
 			s->in_flight = 6;
-		p = pick_server(&e, &r);
+		p = pick_server(&e, &r, UINT32_MAX);
 		if (p.result != cases[i].result)
 			fail_msg("%s: result %d", cases[i].name, p.result);
 		if (cases[i].chosen >= 0)
