Keep unsafe work on servers in use, and try newcomers

Work that runs once now prefers servers below 0.6 of their slots that are in use; repeatable work spreads and goes first to servers that nobody has used. Reports name servers by 32 bits, with a longer interval in large regions.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -206,6 +206,7 @@
 	tab_init(&e->calls, sizeof(struct call_row));
 	tab_init(&e->far, sizeof(struct far_row));
 	idx_init(&e->server_by_key);
+	idx_init(&e->server_by_tag);
 	idx_init(&e->member_by_key);
 	clock_gettime(CLOCK_REALTIME, &now);
 	e->incarnation =
@@ -236,6 +237,7 @@
 	tab_free(&e->calls);
 	tab_free(&e->far);
 	idx_free(&e->server_by_key);
+	idx_free(&e->server_by_tag);
 	idx_free(&e->member_by_key);
 	conf_free(e->conf);
 	ev_free(&e->ev);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -29,11 +29,6 @@
 	int64_t half_since_ns;
 	/* Running mean of the time to a complete answer. */
 	int64_t mean_ns;
-	/* Servers of this region. */
-	uint32_t listed;
-	/* Recent ejections in this region; decays from ejections_ns. */
-	double ejections;
-	int64_t ejections_ns;
 };
 
 /* What the store says of a backend server. */
@@ -222,7 +217,8 @@
 /* Requests in flight of one VM, by server. */
 struct load_report {
 	uint32_t count;
-	uint64_t servers[LOAD_MAX_COUNTS];
+	/* Tags of servers. */
+	uint32_t servers[LOAD_MAX_COUNTS];
 	uint32_t in_flight[LOAD_MAX_COUNTS];
 };
 
@@ -281,6 +277,8 @@
 	struct tab services;
 	struct tab servers;
 	struct idx server_by_key;
+	/* Short names for messages; a clash only blurs a hint. */
+	struct idx server_by_tag;
 	struct tab requests;
 	struct tab callers;
 	struct tab links;
@@ -296,7 +294,6 @@
 	uint64_t random_state;
 	/* Servers of the store were read at least once. */
 	bool servers_known;
-	bool servers_changed;
 	struct sync_state sync;
 	/* Number of the complete reading in progress. */
 	uint32_t read_mark;
--- a/src/edge/gate.c
+++ b/src/edge/gate.c
@@ -11,7 +11,7 @@
 #define PRIORITY_STEP 200
 #define LAST_PRIORITY 3
 /* Load up to which a request is sent that will be late anyway. */
-#define LATE_LOAD 900
+#define LATE_LOAD 1000
 /* True while an answer can be expected within the objective. */
 static bool can_be_in_time(const struct gate_request *r)
 {
@@ -33,6 +33,5 @@
 		return GATE_REFUSE;
 	if (r->load < gate_max_load(r))
 		return GATE_SEND;
-	return can_be_in_time(r) || r->age_ns < r->objective_ns ? GATE_WAIT
-								: GATE_REFUSE;
+	return r->age_ns < r->objective_ns ? GATE_WAIT : GATE_REFUSE;
 }
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -18,16 +18,11 @@
 #define TRIAL_NS (800 * NS_PER_MS)
 /* The same by work that runs once at most. */
 #define UNSAFE_TRIAL_NS (2500 * NS_PER_MS)
+/* Servers that a VM hears of in its first seconds are not newcomers. */
+#define SETTLED_NS (5 * NS_PER_S)
 /* Spread of the pause, so that VMs do not try at the same moment. */
 #define TRIAL_JITTER_NS (300 * NS_PER_MS)
 
-/* Time constant of the rate of ejections. */
-#define RATE_NS (10 * NS_PER_S)
-/* Ejections for each server and second, where none has been seen lately. */
-#define MIN_RATE 0.02
-/* A server without any proof is not taken to be worse than this. */
-#define MAX_RISK 0.3
-
 /* How long a VM avoids a server of another region that failed it. */
 #define FAR_MEMORY_NS (2 * NS_PER_S)
 
@@ -78,44 +73,12 @@
 			   (int64_t)(edge_random(e) % TRIAL_JITTER_NS);
 }
 
-static double ejections_now(const struct edge *e, const struct svc_row *svc)
-{
-	return svc->ejections *
-	       exp(-(double)(e->ev.now_ns - svc->ejections_ns) /
-		   (double)RATE_NS);
-}
-
-static void count_ejection(struct edge *e, const struct srv_row *s)
-{
-	struct svc_row *svc = edge_service(e, s->service);
-
-	if (s->region != e->region)
-		return;
-	svc->ejections = ejections_now(e, svc) + 1;
-	svc->ejections_ns = e->ev.now_ns;
-}
-
 void hlth_prove(struct srv_row *s, int64_t at_ns)
 {
 	if (at_ns > s->proof_ns)
 		s->proof_ns = at_ns;
 }
 
-double hlth_risk(const struct edge *e, const struct srv_row *s)
-{
-	const struct svc_row *svc = edge_service((struct edge *)e, s->service);
-	double rate = svc->listed ? ejections_now(e, svc) / svc->listed /
-					    ((double)RATE_NS / NS_PER_S)
-				  : 0;
-	double age = (double)(e->ev.now_ns - s->proof_ns) / NS_PER_S;
-	double risk;
-
-	if (rate < MIN_RATE)
-		rate = MIN_RATE;
-	risk = 1 - exp(-rate * age);
-	return risk < MAX_RISK ? risk : MAX_RISK;
-}
-
 static void fail(struct edge *e, struct srv_row *s, enum hlth_outcome outcome,
 		 bool own)
 {
@@ -132,7 +95,6 @@
 	}
 	if (s->score < EJECT_SCORE)
 		return;
-	count_ejection(e, s);
 	s->suspect = true;
 	s->suspect_ns = e->ev.now_ns;
 	s->trial_failures = 0;
@@ -211,9 +173,13 @@
 {
 	int64_t now = e->ev.now_ns;
 
-	if (!s->suspect || now < s->next_trial_ns)
+	if (now < s->next_trial_ns || (!s->suspect && s->proof_ns))
 		return false;
 	if (kind == CONF_SAFE)
 		return true;
+	/* A server that joined gets work also where none may be repeated. */
+	if (!s->suspect)
+		return s->joined_ns - e->start_ns > SETTLED_NS &&
+		       now - s->joined_ns > UNSAFE_TRIAL_NS;
 	return kind == CONF_UNSAFE && now - s->last_trial_ns > UNSAFE_TRIAL_NS;
 }
--- a/src/edge/load.c
+++ b/src/edge/load.c
@@ -5,13 +5,14 @@
 #include "hlth.h"
 #include "mem.h"
 #include "news.h"
+#include "srv.h"
 #include "sync.h"
 
 /* Shortest interval between two reports of a VM. */
 #define PERIOD_NS (100 * NS_PER_MS)
 /* VMs of a region for which that interval holds; with more it grows, so that
  * the messages that a VM receives stay the same. */
-#define PERIOD_VMS 24
+#define PERIOD_VMS 16
 /* A report counts for this many intervals without another one. */
 #define REPORT_PERIODS 12
 #define SUMMARY_PERIOD_NS (250 * NS_PER_MS)
@@ -37,8 +38,7 @@
 	uint32_t i;
 
 	for (i = 0; i < r->count; i++) {
-		struct srv_row *s = tab_get(
-			&e->servers, idx_get(&e->server_by_key, r->servers[i]));
+		struct srv_row *s = srv_find_tag(e, r->servers[i]);
 		int64_t remote = s ? (int64_t)s->remote_in_flight : 0;
 
 		if (!s)
@@ -48,7 +48,7 @@
 	}
 }
 
-static uint32_t count_of(const struct load_report *r, uint64_t server)
+static uint32_t count_of(const struct load_report *r, uint32_t server)
 {
 	uint32_t i;
 
@@ -65,9 +65,7 @@
 	uint32_t i;
 
 	for (i = 0; i < now->count; i++) {
-		struct srv_row *s =
-			tab_get(&e->servers,
-				idx_get(&e->server_by_key, now->servers[i]));
+		struct srv_row *s = srv_find_tag(e, now->servers[i]);
 
 		if (s && now->in_flight[i] > count_of(before, now->servers[i]))
 			hlth_prove(s, e->ev.now_ns - period(e));
@@ -109,7 +107,7 @@
 
 		if (!s->in_flight || s->region != e->region)
 			continue;
-		r->servers[r->count] = s->key;
+		r->servers[r->count] = srv_tag(s->key);
 		r->in_flight[r->count++] = s->in_flight;
 	}
 }
@@ -171,7 +169,7 @@
 		sum->in_flight += server->in_flight + server->remote_in_flight;
 		sum->slots += server->suspect ? 0 : server->slots;
 		if (server->suspect && s.ejected_count < LOAD_MAX_EJECTED)
-			s.ejected[s.ejected_count++] = (uint32_t)server->key;
+			s.ejected[s.ejected_count++] = srv_tag(server->key);
 	}
 	news_summary(e, &s);
 }
@@ -193,12 +191,12 @@
 	return row;
 }
 
-static bool is_ejected(const struct load_summary *s, uint64_t key)
+static bool is_ejected(const struct load_summary *s, uint32_t tag)
 {
 	uint32_t i;
 
 	for (i = 0; i < s->ejected_count; i++)
-		if (s->ejected[i] == (uint32_t)key)
+		if (s->ejected[i] == tag)
 			return true;
 	return false;
 }
@@ -219,7 +217,8 @@
 		struct srv_row *server = tab_at(&e->servers, i);
 
 		if (server->region == s->region)
-			server->ejected_there = is_ejected(s, server->key);
+			server->ejected_there =
+				is_ejected(s, srv_tag(server->key));
 	}
 }
 
--- a/src/edge/load.h
+++ b/src/edge/load.h
@@ -23,7 +23,7 @@
 		uint32_t slots;
 	} services[LOAD_MAX_COUNTS];
 	uint32_t ejected_count;
-	/* Low halves of the servers' keys. */
+	/* Tags of servers. */
 	uint32_t ejected[LOAD_MAX_EJECTED];
 };
 
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -244,7 +244,7 @@
 	memset(&r, 0, sizeof(r));
 	r.count = mpk_get_list(in, LOAD_MAX_COUNTS * 2) / 2;
 	for (i = 0; i < r.count; i++) {
-		r.servers[i] = mpk_get_uint(in, 0, UINT64_MAX);
+		r.servers[i] = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 		r.in_flight[i] = (uint32_t)mpk_get_uint(in, 0, UINT16_MAX);
 	}
 	if (from && !in->bad)
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -16,16 +16,13 @@
 /* One more request of this VM at the same server. */
 /* Load up to this share of the slots costs little, in thousandths. */
 #define FREE_LOAD 600
+/* Of an idle server to work that may not be repeated. */
+#define UNPROVED_COST 80
 /* Cost of the last free slot, beyond FREE_LOAD: some servers slow down. */
 #define NEARLY_FULL_COST 60
 /* Cost of waiting for one whole round of a server's slots. */
 #define ROUND_COST 450
 #define WARM_UP_COST 300
-/* Of a request that may not be repeated. */
-#define LOSS_COST 1700
-/* What a repeatable request gains by going where no proof is fresh. */
-#define PROOF_WORTH 400
-#define MAX_PROOF_WORTH 60
 /* A server to which the request would not be admitted; it costs more than
  * any distance. */
 #define OVERLOAD_COST 100000
@@ -69,30 +66,21 @@
 {
 	int64_t load = load_of(v->e, s);
 
+	/* Work that runs once keeps to servers that others have just proved;
+	 * work that may be repeated proves the rest. */
+	if (load <= FREE_LOAD && v->req->kind != CONF_SAFE)
+		return (FREE_LOAD - load) * UNPROVED_COST / FREE_LOAD;
 	if (load <= FREE_LOAD)
 		return load * JITTER / FREE_LOAD;
 	if (load < 1000)
-		return JITTER + (load - FREE_LOAD) * NEARLY_FULL_COST /
-					(1000 - FREE_LOAD);
-	return JITTER + NEARLY_FULL_COST + (load - 1000) * ROUND_COST / 1000;
-}
-
-/* What may be lost because the server has failed since its last proof. */
-static int64_t risk_cost(const struct view *v, const struct srv_row *s)
-{
-	double risk = hlth_risk(v->e, s);
-	int64_t c;
-
-	if (v->req->kind != CONF_SAFE)
-		return (int64_t)(risk * LOSS_COST);
-	/* Repeatable work is the cheapest way to a new proof. */
-	c = (int64_t)(risk * PROOF_WORTH);
-	return c < MAX_PROOF_WORTH ? -c : -MAX_PROOF_WORTH;
+		return (load - FREE_LOAD) * NEARLY_FULL_COST /
+		       (1000 - FREE_LOAD);
+	return NEARLY_FULL_COST + (load - 1000) * ROUND_COST / 1000;
 }
 
 static int64_t cost(const struct view *v, const struct srv_row *s)
 {
-	int64_t c = distance_cost(v, s) + load_cost(v, s) + risk_cost(v, s);
+	int64_t c = distance_cost(v, s) + load_cost(v, s);
 
 	if (!s->idle_links)
 		c += CONNECT_COST;
--- a/src/edge/srv.c
+++ b/src/edge/srv.c
@@ -16,6 +16,18 @@
 	return tab_get(&e->servers, h);
 }
 
+uint32_t srv_tag(uint64_t key)
+{
+	uint32_t tag = (uint32_t)key;
+
+	return tag ? tag : 1;
+}
+
+struct srv_row *srv_find_tag(struct edge *e, uint32_t tag)
+{
+	return tab_get(&e->servers, idx_get(&e->server_by_tag, tag));
+}
+
 static void log_server(const struct srv_row *s, const char *change)
 {
 	logs_event(LOGS_INFO, "server",
@@ -42,6 +54,7 @@
 	s->joined_ns = e->ev.now_ns;
 	s->read_mark = e->read_mark;
 	idx_put(&e->server_by_key, key, h);
+	idx_put(&e->server_by_tag, srv_tag(key), h);
 	return s;
 }
 
@@ -77,7 +90,6 @@
 		log_server(s, added ? "listed"
 				    : (r->draining ? "draining" : "ready"));
 	}
-	e->servers_changed = true;
 	s->service = r->service;
 	s->zone = r->zone;
 	s->region = eset_region_key(&e->set, r->zone);
@@ -124,20 +136,6 @@
 	}
 }
 
-static void count_listed(struct edge *e)
-{
-	uint32_t i;
-
-	for (i = 0; i < e->services.len; i++)
-		((struct svc_row *)tab_at(&e->services, i))->listed = 0;
-	for (i = 0; i < e->servers.len; i++) {
-		const struct srv_row *s = tab_at(&e->servers, i);
-
-		if (s->state == SRV_READY && s->region == e->region)
-			edge_service(e, s->service)->listed++;
-	}
-}
-
 void srv_tick(struct edge *e, int64_t now_ns)
 {
 	uint32_t i = e->servers.len;
@@ -153,12 +151,9 @@
 		if (s->state != SRV_GONE || s->in_flight || s->idle_links)
 			continue;
 		idx_del(&e->server_by_key, s->key);
+		idx_del(&e->server_by_tag, srv_tag(s->key));
 		tab_del(&e->servers, tab_handle(&e->servers, i));
-		e->servers_changed = true;
 	}
-	if (e->servers_changed)
-		count_listed(e);
-	e->servers_changed = false;
 }
 
 int64_t srv_next_due(const struct edge *e)
--- a/src/edge/srv.h
+++ b/src/edge/srv.h
@@ -10,6 +10,9 @@
 /* A complete reading as of a version ends: servers not in it are missing. */
 void srv_end_full_read(struct edge *e, uint64_t version);
 struct srv_row *srv_find(struct edge *e, uint64_t key, struct hnd *handle);
+/* Short name of a server in messages. */
+uint32_t srv_tag(uint64_t key);
+struct srv_row *srv_find_tag(struct edge *e, uint32_t tag);
 /* Removes servers that are gone and have no work left. */
 void srv_tick(struct edge *e, int64_t now_ns);
 int64_t srv_next_due(const struct edge *e);
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -37,6 +37,7 @@
 	tab_init(&e->calls, sizeof(struct call_row));
 	tab_init(&e->far, sizeof(struct far_row));
 	idx_init(&e->server_by_key);
+	idx_init(&e->server_by_tag);
 	idx_init(&e->member_by_key);
 	e->set.floor_permille = 500;
 	e->set.retry_permille = 200;
@@ -66,6 +67,7 @@
 	tab_free(&e->calls);
 	tab_free(&e->far);
 	idx_free(&e->server_by_key);
+	idx_free(&e->server_by_tag);
 	idx_free(&e->member_by_key);
 	conf_free(e->conf);
 }
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -406,7 +406,7 @@
 	fix_init(&e);
 	s = fix_server(&e, "i-0", "z0");
 	mem_hear(&e, &r);
-	report.servers[0] = s->key;
+	report.servers[0] = srv_tag(s->key);
 	load_hear(&e, tab_at(&e.members, 1), &report);
 	load_hear(&e, tab_at(&e.members, 1), &report);
 	s->in_flight = 1;
