--- a/src/edge/gate.c
+++ b/src/edge/gate.c
@@ -11,7 +11,7 @@
 #define PRIORITY_STEP 200
 #define LAST_PRIORITY 3
 /* Load up to which a request is sent that will be late anyway. */
-#define LATE_LOAD 1000
+#define LATE_LOAD 900
 /* True while an answer can be expected within the objective. */
 static bool can_be_in_time(const struct gate_request *r)
 {
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -179,7 +179,8 @@
 		return true;
 	/* A server that joined gets work also where none may be repeated. */
 	if (!s->suspect)
-		return s->joined_ns - e->start_ns > SETTLED_NS &&
+		return kind == CONF_UNSAFE &&
+		       s->joined_ns - e->start_ns > SETTLED_NS &&
 		       now - s->joined_ns > UNSAFE_TRIAL_NS;
 	return kind == CONF_UNSAFE && now - s->last_trial_ns > UNSAFE_TRIAL_NS;
 }
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -19,7 +19,7 @@
 /* Of an idle server to work that may not be repeated. */
 #define UNPROVED_COST 80
 /* Cost of the last free slot, beyond FREE_LOAD: some servers slow down. */
-#define NEARLY_FULL_COST 60
+#define NEARLY_FULL_COST 150
 /* Cost of waiting for one whole round of a server's slots. */
 #define ROUND_COST 450
 #define WARM_UP_COST 300
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -90,13 +90,14 @@
 	};
 }
 
-/* Adds a ready server and returns its row. */
+/* Adds a ready server that is in use and returns its row. */
 static inline struct srv_row *fix_server(struct edge *e, const char *id,
 					 const char *zone)
 {
 	struct srv_report r = fix_report(id, zone, 1);
 
 	srv_report(e, &r);
+	srv_find(e, edge_key(str_from(id)), NULL)->proof_ns = e->ev.now_ns;
 	return srv_find(e, edge_key(str_from(id)), NULL);
 }
 
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -92,6 +92,47 @@
 	fix_free(&e);
 }
 
+/* Guards against a server that joins and gets no work, also in a service
+ * whose work may not be repeated. */
+static void test_newcomer(void **state)
+{
+	static const struct {
+		const char *name;
+		enum conf_kind kind;
+		/* Since the server joined. */
+		int age_ms;
+		bool used;
+		bool tried;
+	} cases[] = {
+		{"repeatable work at once", CONF_SAFE, 100, false, true},
+		{"unsafe work later", CONF_UNSAFE, 1000, false, false},
+		{"unsafe work in the end", CONF_UNSAFE, 3000, false, true},
+		{"no upload", CONF_UPLOAD, 3000, false, false},
+		{"already used", CONF_SAFE, 3000, true, false},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct req_row r = fix_request(cases[i].kind);
+		struct srv_row *s;
+		struct pick p;
+
+		fix_init(&e);
+		e.start_ns = e.ev.now_ns - 60 * NS_PER_S;
+		fix_server(&e, "i-0", "z0");
+		s = fix_server(&e, "i-1", "z0");
+		s->proof_ns = cases[i].used ? e.ev.now_ns : 0;
+		s->warm_until_ns = e.ev.now_ns + 10 * NS_PER_S;
+		fix_step(&e, cases[i].age_ms * NS_PER_MS);
+		p = pick_server(&e, &r, UINT32_MAX);
+		if ((p.trial && tab_get(&e.servers, p.server) == s) !=
+		    cases[i].tried)
+			fail_msg("%s: trial %d", cases[i].name, p.trial);
+		fix_free(&e);
+	}
+}
+
 /* Guards against ejections that leave a service without capacity. */
 static void test_floor(void **state)
 {
@@ -245,11 +286,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_ejection),
-		cmocka_unit_test(test_return),
-		cmocka_unit_test(test_floor),
-		cmocka_unit_test(test_placement),
-		cmocka_unit_test(test_budget),
+		cmocka_unit_test(test_ejection),  cmocka_unit_test(test_return),
+		cmocka_unit_test(test_newcomer),  cmocka_unit_test(test_floor),
+		cmocka_unit_test(test_placement), cmocka_unit_test(test_budget),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
