--- /dev/null
+++ b/scripts/it_edge.sh
@@ -0,0 +1,303 @@
+#!/usr/bin/env bash
+# Integration test of edge VMs with real processes: three of them in two
+# regions, four backend servers and a stand-in of the users' store. Each step
+# names the failure that it guards against.
+set -u
+build=${BUILD_DIR:-build}
+dir=$(mktemp -d)
+port=${IT_EDGE_PORT:-21700}
+store=127.21.0.1:$port
+pids=()
+declare -A pid_of
+failed=0
+
+cleanup() {
+	local pid
+	for pid in "${pids[@]}"; do
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+	rm -rf "$dir"
+}
+trap cleanup EXIT
+
+start() { # NAME COMMAND...
+	local name=$1
+	shift
+	"$@" >>"$dir/$name.log" 2>&1 &
+	pid_of[$name]=$!
+	pids+=($!)
+}
+
+check() { # WHAT ACTUAL EXPECTED
+	if [ "$2" = "$3" ]; then
+		echo "ok: $1"
+	else
+		echo "FAILED: $1: got $2, expected $3"
+		failed=1
+	fi
+}
+
+put() { # TABLE KEY VALUE
+	curl -s -m 5 -o /dev/null -H 'X-Operator: 1' --data-binary @- \
+		"http://$store/rows-tx" <<JSON
+{"puts":[{"table":"$1","part":"","key":"$2","value":"$(printf %s "$3" | base64 -w0)"}]}
+JSON
+}
+
+control() { # JSON
+	curl -s -m 5 -o /dev/null --data "$1" "http://$store/control"
+}
+
+config() { # VERSION ROUTES-WITH-SERVICE...
+	local version=$1 rules='' rule
+	shift
+	for rule in "$@"; do
+		rules+="{\"name\":\"r-$rule\",\"kind\":\"${rule%%-*}\",
+			\"slo\":\"1000ms\",\"priority\":1,
+			\"match\":{\"prefix\":\"/$rule/\"},
+			\"action\":{\"service\":\"svc\",\"timeout\":\"3000ms\",
+			\"attempts\":2}},"
+	done
+	put op config "{\"version\":\"r$version\",\"limits\":{
+		\"max_header_bytes\":16384,\"max_body_bytes\":67108864,
+		\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"},
+		\"listeners\":[{\"host\":\"h.example\",
+		\"rules\":[${rules%,}]}],
+		\"clusters\":[{\"name\":\"svc\",\"health_path\":\"/healthz\",
+		\"max_conns\":390,\"protocol\":\"h1\",\"tls\":false}]}"
+}
+
+server_row() { # N STATE
+	local zones=(z0 z0 z1 z2 z2)
+	put servers "i-$1" "{\"address\":\"127.21.1.$1:$port\",\"born\":1,
+		\"info\":{\"service\":\"svc\",\"version\":\"v1\",
+		\"zone\":\"${zones[$1]}\",\"slots\":6},
+		\"status\":{\"state\":\"$2\",\"seq\":1,
+		\"warmup_left\":\"0ms\"}}"
+}
+
+edge() { # N ZONE REGION
+	cat >"$dir/e$1.json" <<JSON
+{
+	"id": "e$1", "zone": "$2", "region": "$3",
+	"callers": "127.21.2.$1:$port",
+	"ready": "127.21.2.$1:$((port + 1))",
+	"directory": "127.21.2.$1:$((port + 2))",
+	"control": "127.21.2.$1:$((port + 3))",
+	"store": "$store",
+	"seeds": ["127.21.2.1:$((port + 3))", "127.21.2.2:$((port + 3))"],
+	"zones": {"z0": "ra", "z1": "ra", "z2": "rb"},
+	"peer_port": $((port + 4)), "peer_trust": "network",
+	"grace": "3s", "drain": "2s", "retry_ratio": 0.5, "retry_slack": 100
+}
+JSON
+	start "e$1" "$build/currantpaddle" edge --settings "$dir/e$1.json"
+}
+
+edges() {
+	edge 1 z0 ra
+	edge 2 z1 ra
+	edge 3 z2 rb
+}
+
+request_id=0
+ask() { # VM PATH CURL-OPTIONS... ; sets $status and leaves the body
+	local vm=$1 path=$2
+	shift 2
+	request_id=$((request_id + 1))
+	status=$(curl -s -m 8 -o "$dir/body" -D "$dir/head" \
+		-w '%{http_code}' -H 'Host: h.example' \
+		-H "Request-Id: q$request_id" -H 'Deadline-Ms: 5000' "$@" \
+		"http://127.21.2.$vm:$port$path")
+}
+
+ready() { # VM
+	curl -s -m 2 -o /dev/null -w '%{http_code}' \
+		"http://127.21.2.$1:$((port + 1))/readyz"
+}
+
+wait_ready() { # VM...
+	local vm i
+	for vm in "$@"; do
+		for i in $(seq 100); do
+			[ "$(ready "$vm")" = 200 ] && break
+			sleep 0.1
+		done
+		check "VM $vm is ready" "$(ready "$vm")" 200
+	done
+}
+
+runs() { # REQUEST-ID ; how often it ran, at all servers
+	local n
+	for n in 1 2 3 4; do
+		curl -s -m 2 "http://127.21.1.$n:$port/stub/runs"
+	done | grep -cx "$1"
+}
+
+fault() { # MODE N...
+	local mode=$1 n
+	shift
+	for n in "$@"; do
+		curl -s -m 2 -o /dev/null \
+			"http://127.21.1.$n:$port/stub/fault?mode=$mode"
+	done
+}
+
+reads() {
+	curl -s -m 2 "http://$store/stats" | sed 's/.*"reads":\([0-9]*\).*/\1/'
+}
+
+start store "$build/rowsd" "$store"
+for n in 1 2 3 4; do
+	start "s$n" "$build/serverd" "127.21.1.$n:$port:i-$n"
+done
+sleep 0.5
+config 3 safe unsafe upload
+for n in 1 2 3 4; do
+	server_row "$n" ready
+done
+put servers i-foreign '{"address": 17'
+edges
+wait_ready 1 2 3
+
+echo "# a kind of request that is not served, or a body that is changed"
+head -c 200000 /dev/urandom >"$dir/upload"
+for vm in 1 2 3; do
+	ask $vm /safe/x
+	check "safe at VM $vm" "$status" 200
+	ask $vm /unsafe/x -d booking
+	check "unsafe at VM $vm" "$status $(cat "$dir/body")" "200 booking"
+	ask $vm /upload/x --data-binary "@$dir/upload" -H 'Expect:'
+	check "upload at VM $vm" "$status $(cmp "$dir/upload" "$dir/body" &&
+		echo same)" "200 same"
+	ask $vm /none/x
+	check "no route at VM $vm" "$status" 404
+done
+
+echo "# addresses that callers cannot use"
+answer=$(curl -s -m 2 "http://127.21.2.3:$((port + 2))/resolve?name=h.example&region=ra&zone=z1")
+check "addresses of the caller's zone" \
+	"$(grep -o '127.21.2.[0-9]*' <<<"$answer")" 127.21.2.2
+
+echo "# store calls that grow with the number of VMs"
+before=$(reads)
+sleep 4
+check "store calls in 4 s at rest" \
+	"$([ $(($(reads) - before)) -le 40 ] && echo at most 40)" "at most 40"
+
+echo "# a configuration that is not in force in time"
+config 9 safe unsafe upload safe-new
+sleep 2
+for vm in 1 2 3; do
+	ask $vm /safe-new/x
+	check "new route at VM $vm after 2 s" "$status" 200
+done
+put op config '{"version": "r10", "listeners": 5}'
+sleep 2
+ask 1 /safe-new/x
+check "a damaged configuration changes nothing" "$status" 200
+config 11 safe unsafe upload safe-new
+
+echo "# work that runs twice, and a false report that it did not run"
+fault reset 1 2 3 4
+ask 1 /unsafe/x -d booking
+check "unsafe after a reset is not reported as not run" "$status" 502
+check "it ran once" "$(runs q$request_id)" 1
+fault shed 1 2 3 4
+ask 1 /unsafe/x -d booking
+check "unsafe without room is refused" "$status" 503
+check "it did not run" "$(runs q$request_id)" 0
+check "with the time to come back" \
+	"$(grep -ci '^retry-after: 0\.' "$dir/head")" 1
+fault none 1 2 3 4
+sleep 4
+
+echo "# answers that belong to another request or are not whole"
+fault stray 1 2 3 4
+ask 1 /unsafe/x -d mine
+check "a stray answer is skipped" "$status $(cat "$dir/body")" "200 mine"
+fault unsigned 1 2 3 4
+ask 1 /unsafe/x -d mine
+check "an answer without proof is no success" "$status" 502
+fault none 1 2 3 4
+sleep 4
+fault cut 1 2 3 4
+ask 2 /unsafe/x -d mine
+check "a cut answer is no success" "$status" 502
+fault none 1 2 3 4
+sleep 4
+
+echo "# a server that gets work after it said that it leaves"
+server_row 3 draining
+sleep 2
+before=$(curl -s "http://127.21.1.3:$port/stub/runs" | wc -l)
+for n in $(seq 20); do
+	ask 2 /safe/x
+done
+check "work of a draining server" \
+	"$(curl -s "http://127.21.1.3:$port/stub/runs" | wc -l)" "$before"
+server_row 3 ready
+
+echo "# an outage of the store that stops service"
+control '{"mode": "down"}'
+sleep 1
+for vm in 1 2 3; do
+	ask $vm /unsafe/x -d booking
+	check "store away: served at VM $vm" "$status" 200
+done
+kill -KILL "${pid_of[e1]}"
+sleep 0.2
+edge 1 z0 ra
+wait_ready 1
+ask 1 /safe/x
+check "store away: a VM that starts learns from another" "$status" 200
+for n in 1 2 3; do
+	kill -KILL "${pid_of[e$n]}"
+done
+sleep 0.2
+edges
+sleep 1
+ask 1 /unsafe/x -d booking
+check "all VMs lost and the store away: refused as not run" "$status" 503
+check "not ready without a configuration" "$(ready 1)" 503
+control '{"mode": "up"}'
+wait_ready 1 2 3
+for vm in 1 2 3; do
+	ask $vm /unsafe/x -d booking
+	check "store back: served at VM $vm" "$status" 200
+done
+
+echo "# a store that refuses some VMs, loses answers or its history"
+control '{"mode": "busy", "clients": ["127.21.2.1", "127.0.0.1"]}'
+config 12 safe unsafe upload safe-late
+control '{"mode": "lose"}'
+sleep 1
+control '{"mode": "up", "forget": true}'
+sleep 3
+for vm in 1 2 3; do
+	ask $vm /safe/x
+	check "history gone: served at VM $vm" "$status" 200
+done
+
+echo "# a planned stop that cuts requests or keeps callers"
+: >"$dir/cut"
+for n in $(seq 8); do
+	(for i in 1 2 3 4 5; do
+		curl -s -m 8 -o /dev/null -w '%{http_code}\n' \
+			-H 'Host: h.example' -H "Request-Id: stop$n-$i" \
+			-H 'Deadline-Ms: 5000' -d x \
+			"http://127.21.2.2:$port/unsafe/x" >>"$dir/cut"
+	done) &
+	loads+=($!)
+done
+sleep 0.05
+kill -TERM "${pid_of[e2]}"
+sleep 0.3
+check "leaving: not ready" "$(ready 2)" 503
+wait "${loads[@]}"
+check "answers during a stop" "$(sort -u "$dir/cut" | xargs)" 200
+wait "${pid_of[e2]}"
+check "exit of a stopped VM" $? 0
+
+exit $failed
--- /dev/null
+++ b/tools/serverd.c
@@ -0,0 +1,180 @@
+/*
+ * Stand-in of a users' backend server: answers what the pages of the users'
+ * platform say, with a fault on request.
+ *
+ *   serverd ADDRESS:PORT:ID
+ *
+ * Any path: runs the request and answers 200 with its body, or "ok". GET
+ * /stub/runs gives a line "REQUEST-ID RUNS" for each request that ran. GET
+ * /stub/fault?mode=M sets the fault: none, reset (runs, then no answer), shed
+ * (503, not run), error (500), hang, unsigned (no proof), stray (an answer of
+ * another request comes first), cut (half of the body).
+ */
+#include <civetweb.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "str.h"
+
+#define MAX_RUNS 65536
+#define ID_BYTES 64
+#define WORK_US 20000
+#define HANG_S 20
+#define BODY_BYTES (1 << 20)
+
+static char server_id[ID_BYTES];
+static char fault[16] = "none";
+static char runs[MAX_RUNS][ID_BYTES];
+static unsigned run_count;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+static int send_answer(struct mg_connection *c, int status, const char *extra,
+		       const char *id, struct str body, size_t sent)
+{
+	mg_printf(c,
+		  "HTTP/1.1 %d Status\r\nRequest-Id: %s\r\n%s"
+		  "Content-Length: %zu\r\n\r\n",
+		  status, id, extra, body.len);
+	mg_write(c, body.ptr, sent);
+	return status;
+}
+
+static bool has_fault(const char *name)
+{
+	bool found;
+
+	pthread_mutex_lock(&lock);
+	found = !strcmp(fault, name);
+	pthread_mutex_unlock(&lock);
+	return found;
+}
+
+static void note_run(const char *id)
+{
+	pthread_mutex_lock(&lock);
+	if (run_count < MAX_RUNS)
+		str_copy(runs[run_count++], ID_BYTES, str_from(id));
+	pthread_mutex_unlock(&lock);
+}
+
+static int on_runs(struct mg_connection *c)
+{
+	struct strbuf out;
+	unsigned i;
+
+	strbuf_init(&out);
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < run_count; i++)
+		strbuf_addf(&out, "%s\n", runs[i]);
+	pthread_mutex_unlock(&lock);
+	send_answer(c, 200, "", "", strbuf_view(&out), out.len);
+	strbuf_free(&out);
+	return 200;
+}
+
+static int on_fault(struct mg_connection *c, const char *query)
+{
+	pthread_mutex_lock(&lock);
+	if (query)
+		mg_get_var(query, strlen(query), "mode", fault, sizeof(fault));
+	pthread_mutex_unlock(&lock);
+	return send_answer(c, 200, "", "", STR("ok"), 2);
+}
+
+static int run(struct mg_connection *c, const char *id)
+{
+	static const char proof[] = "Response-Signature: 1.2.3\r\n";
+	char *body = malloc(BODY_BYTES);
+	struct str whole = STR("ok");
+	size_t len = 0;
+	int n = 1;
+
+	while (body && len < BODY_BYTES && n > 0) {
+		n = mg_read(c, body + len, BODY_BYTES - len);
+		len += n > 0 ? (size_t)n : 0;
+	}
+	if (len)
+		whole = (struct str){body, len};
+	note_run(id);
+	usleep(WORK_US);
+	if (has_fault("hang"))
+		sleep(HANG_S);
+	if (has_fault("reset"))
+		mg_close_connection(c);
+	else if (has_fault("error"))
+		send_answer(c, 500, proof, id, whole, whole.len);
+	else if (has_fault("unsigned"))
+		send_answer(c, 200, "", id, whole, whole.len);
+	else if (has_fault("cut"))
+		send_answer(c, 200, proof, id, whole, whole.len / 2);
+	else if (has_fault("stray"))
+		send_answer(c, 200, proof, "another", STR("stray"), 5);
+	if (has_fault("none") || has_fault("stray"))
+		send_answer(c, 200, proof, id, whole, whole.len);
+	if (has_fault("cut"))
+		mg_close_connection(c);
+	free(body);
+	return 200;
+}
+
+static int on_request(struct mg_connection *c, void *ctx)
+{
+	const struct mg_request_info *info = mg_get_request_info(c);
+	const char *expect = mg_get_header(c, "Expect-Instance");
+	const char *id = mg_get_header(c, "Request-Id");
+
+	(void)ctx;
+	if (!strcmp(info->local_uri, "/stub/runs"))
+		return on_runs(c);
+	if (!strcmp(info->local_uri, "/stub/fault"))
+		return on_fault(c, info->query_string);
+	if (!id)
+		return send_answer(c, 400, "Not-Executed: 1\r\n", "",
+				   STR("no id"), 5);
+	if (expect && strcmp(expect, server_id) != 0)
+		return send_answer(c, 421, "Not-Executed: 1\r\n", id,
+				   STR("other"), 5);
+	if (has_fault("shed"))
+		return send_answer(c, 503, "Not-Executed: 1\r\n", id,
+				   STR("full"), 4);
+	return run(c, id);
+}
+
+int main(int argc, char **argv)
+{
+	const char *options[] = {"listening_ports",
+				 NULL,
+				 "num_threads",
+				 "32",
+				 "enable_keep_alive",
+				 "yes",
+				 "keep_alive_timeout_ms",
+				 "10000",
+				 NULL};
+	struct str address = str_from(argc == 2 ? argv[1] : "");
+	char listen[64];
+	size_t at = address.len;
+	struct mg_context *ctx;
+
+	while (at > 0 && address.ptr[at - 1] != ':')
+		at--;
+	if (!at) {
+		fprintf(stderr, "usage: serverd ADDRESS:PORT:ID\n");
+		return 2;
+	}
+	str_copy(server_id, sizeof(server_id), str_from_offset(address, at));
+	str_copy(listen, sizeof(listen), (struct str){address.ptr, at - 1});
+	options[1] = listen;
+	mg_init_library(0);
+	ctx = mg_start(NULL, NULL, options);
+	if (!ctx) {
+		fprintf(stderr, "serverd: cannot listen on %s\n", listen);
+		return 1;
+	}
+	mg_set_request_handler(ctx, "**", on_request, NULL);
+	for (;;)
+		pause();
+}
