--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -17,7 +17,10 @@
 /* Pause between two trials by work that may be repeated. */
 #define TRIAL_NS (800 * NS_PER_MS)
 /* The same by work that runs once at most. */
-#define UNSAFE_TRIAL_NS (2500 * NS_PER_MS)
+#define UNSAFE_TRIAL_NS (1700 * NS_PER_MS)
+/* A server in use that got no work for this long is given some: capacity
+ * that is not used for two seconds counts as taken out of service. */
+#define COVER_NS (1200 * NS_PER_MS)
 /* Servers that a VM hears of in its first seconds are not newcomers. */
 #define SETTLED_NS (5 * NS_PER_S)
 /* Spread of the pause, so that VMs do not try at the same moment. */
@@ -173,8 +176,10 @@
 {
 	int64_t now = e->ev.now_ns;
 
-	if (now < s->next_trial_ns || (!s->suspect && s->proof_ns))
+	if (now < s->next_trial_ns)
 		return false;
+	if (!s->suspect && s->proof_ns)
+		return now - s->proof_ns > COVER_NS;
 	if (kind == CONF_SAFE)
 		return true;
 	/* A server that joined gets work also where none may be repeated. */
--- a/src/edge/hlth.h
+++ b/src/edge/hlth.h
@@ -39,8 +39,8 @@
 bool hlth_is_out(const struct edge *e, const struct srv_row *s);
 /* A request was taken without a failure at that time. */
 void hlth_prove(struct srv_row *s, int64_t at_ns);
-/* True when a request of the kind may try the server now: it is ejected, or
- * nobody is known to have used it yet. */
+/* True when a request of the kind is to try the server now: it is ejected, or
+ * nobody is known to have used it lately. */
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
 		    enum conf_kind kind);
 
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -154,7 +154,8 @@
 
 		if (s->service != v->req->service || s->state != SRV_READY ||
 		    s->region != v->e->region || was_tried(v->req, s->key) ||
-		    !hlth_trial_due(v->e, s, v->req->kind))
+		    !hlth_trial_due(v->e, s, v->req->kind) ||
+		    (!s->suspect && load_of(v->e, s) >= 1000))
 			continue;
 		c = s->next_trial_ns;
 		if (best < 0 || c < best_cost) {
--- a/src/logs.c
+++ b/src/logs.c
@@ -2,6 +2,8 @@
 
 #include "logs.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,6 +14,11 @@
 static char vm_name[64];
 static bool installed;
 static int out_fd = STDERR_FILENO;
+static bool bounded;
+static uint32_t lost_lines;
+
+/* Lines of one event class in a second; the others are counted. */
+#define LINES_PER_S 200
 
 static const GLogLevelFlags glib_level[] = {
 	[LOGS_ERROR] = G_LOG_LEVEL_CRITICAL,
@@ -107,16 +114,94 @@
 			add_field(&line, &fields[i]);
 	strbuf_add(&line, STR("}\n"));
 	written = write(out_fd, line.ptr, line.len);
+	/* Only a process that asked for bounds has a descriptor that refuses.
+	 */
+	if (written < 0 && errno == EAGAIN)
+		lost_lines++;
 	strbuf_free(&line);
 	return written < 0 ? G_LOG_WRITER_UNHANDLED : G_LOG_WRITER_HANDLED;
 }
 
+/*
+ * Lines of one event class in the current second. Used by processes of one
+ * thread only.
+ */
+struct event_class {
+	const char *event;
+	time_t second;
+	uint32_t lines;
+	uint32_t left_out;
+};
+
+#define MAX_CLASSES 64
+
+static struct event_class classes[MAX_CLASSES];
+
+static struct event_class *class_of(const char *event)
+{
+	size_t i;
+
+	for (i = 0; i < MAX_CLASSES && classes[i].event; i++)
+		if (!strcmp(classes[i].event, event))
+			return &classes[i];
+	if (i == MAX_CLASSES)
+		return NULL;
+	classes[i].event = event;
+	return &classes[i];
+}
+
+static void report_left_out(const char *event, uint32_t lines)
+{
+	char count[24];
+	GLogField out[] = {{"event", "left_out", -1},
+			   {"class", event, -1},
+			   {"#lines", count, -1}};
+
+	snprintf(count, sizeof(count), "%u", lines);
+	g_log_structured_array(G_LOG_LEVEL_WARNING, out, 3);
+}
+
+/* False when the class has had its lines of this second. */
+static bool is_within_bounds(const char *event)
+{
+	struct event_class *c = class_of(event);
+	uint32_t left_out;
+	struct timespec now;
+
+	if (!c)
+		return true;
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	if (c->second != now.tv_sec) {
+		left_out = c->left_out;
+		c->second = now.tv_sec;
+		c->lines = 0;
+		c->left_out = 0;
+		if (left_out)
+			report_left_out(event, left_out);
+		left_out = lost_lines;
+		lost_lines = 0;
+		if (left_out)
+			report_left_out("any, as the reader was too slow",
+					left_out);
+	}
+	if (c->lines >= LINES_PER_S) {
+		c->left_out++;
+		return false;
+	}
+	c->lines++;
+	return true;
+}
+
 void logs_setup(const struct logs_opts *opts)
 {
 	struct strbuf escaped;
 
 	max_level = opts->level;
+	bounded = opts->to_stdout;
 	out_fd = opts->to_stdout ? STDOUT_FILENO : STDERR_FILENO;
+	/* A reader that stalls costs lines, not time. */
+	if (bounded)
+		fcntl(out_fd, F_SETFL, fcntl(out_fd, F_GETFL) | O_NONBLOCK);
 	strbuf_init(&escaped);
 	logs_add_json(&escaped, opts->vm);
 	str_copy(vm_name, sizeof(vm_name), strbuf_view(&escaped));
@@ -142,7 +227,7 @@
 	char numbers[MAX_FIELDS][NUMBER_CHARS];
 	size_t i;
 
-	if (!logs_enabled(level))
+	if (!logs_enabled(level) || (bounded && !is_within_bounds(event)))
 		return;
 	if (count > MAX_FIELDS)
 		count = MAX_FIELDS;
--- a/src/logs.h
+++ b/src/logs.h
@@ -34,7 +34,11 @@
 	enum logs_level level;
 	/* Name of this VM, repeated in each line. */
 	struct str vm;
-	/* Lines go to standard output instead of standard error. */
+	/*
+	 * Lines go to standard output instead of standard error, at most 200 a
+	 * second for each event, and none is waited for: what is left out is
+	 * counted in a line "left_out". For processes of one thread.
+	 */
 	bool to_stdout;
 };
 
