--- a/src/ctr.h
+++ b/src/ctr.h
@@ -31,9 +31,20 @@
 	CTR_COUNT,
 };
 
+/* Process-wide histograms of times. */
+enum ctr_time {
+	/* From a caller's request to the end of its answer. */
+	CTR_TIME_REQUEST,
+	/* From sending to a backend server to its complete answer. */
+	CTR_TIME_BACKEND,
+	CTR_TIMES,
+};
+
+/* Adds a time in nanoseconds; may be called from any thread. */
+void ctr_observe(enum ctr_time time, int64_t ns);
 void ctr_add(enum ctr counter, uint64_t n);
 uint64_t ctr_get(enum ctr counter);
-/* Prometheus text exposition of all counters. */
+/* Prometheus text exposition of all counters and histograms. */
 void ctr_write(struct strbuf *out);
 
 #endif
--- /dev/null
+++ b/src/edge/reqt.c
@@ -0,0 +1,123 @@
+#include "req.h"
+
+#include "ctr.h"
+#include "hlth.h"
+#include "reqi.h"
+
+/* Longest wait for a connection; a lost opening packet is sent again only
+ * after a second. */
+#define CONNECT_TIMEOUT_NS (300 * NS_PER_MS)
+/* Age at which a request counts as stalled, as a multiple of the mean. */
+#define STALL_MEANS 4
+#define STALL_MIN_NS (800 * NS_PER_MS)
+/* A request that was not reset within a round trip was taken. */
+#define TAKEN_NS (30 * NS_PER_MS)
+
+static int64_t stall_age(struct edge *e, const struct req_row *r)
+{
+	int64_t age = req_mean(e, r) * STALL_MEANS;
+
+	return age > STALL_MIN_NS ? age : STALL_MIN_NS;
+}
+
+/* Ejects the server; the request itself goes on waiting. */
+static void on_stall(struct edge *e, struct hnd h)
+{
+	struct req_row *r = req_get(e, h);
+
+	req_note(e, r, HLTH_STALLED);
+	r->stalled = true;
+	req_log(e, r, "stalled", "", (e->ev.now_ns - r->sent_ns) / NS_PER_MS);
+}
+
+static void on_limit(struct edge *e, struct req_row *r)
+{
+	bool sent = r->state == REQ_SENT;
+
+	if (sent)
+		req_note(e, r, HLTH_STALLED);
+	r->may_have_run |= sent && link_sent(e, r->link);
+	req_refuse(e, r, r->may_have_run ? 504 : 503, "time limit reached");
+}
+
+static void prove(struct edge *e, struct req_row *r)
+{
+	struct srv_row *s;
+
+	if (r->state != REQ_SENT || r->proved ||
+	    e->ev.now_ns - r->sent_ns < TAKEN_NS)
+		return;
+	r->proved = true;
+	s = tab_get(&e->servers, r->server);
+	if (s)
+		hlth_prove(s, r->sent_ns);
+}
+
+static void tick_row(struct edge *e, struct hnd h, int64_t now_ns)
+{
+	struct req_row *r = req_get(e, h);
+
+	if (!r || r->state == REQ_RELAY)
+		return;
+	prove(e, r);
+	if (now_ns >= r->limit_ns)
+		on_limit(e, r);
+	else if (r->state == REQ_CONNECTING &&
+		 now_ns - r->connect_ns >= CONNECT_TIMEOUT_NS)
+		req_unreachable(e, h, "no connection in time");
+	else if (r->state == REQ_QUEUED && now_ns >= r->retry_ns)
+		req_try_send(e, h);
+	else if (r->state == REQ_SENT && !r->stalled &&
+		 now_ns - r->sent_ns >= stall_age(e, r))
+		on_stall(e, h);
+}
+
+void req_tick(struct edge *e, int64_t now_ns)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->requests.len; i++)
+		tick_row(e, tab_handle(&e->requests, i), now_ns);
+}
+
+int64_t req_next_due(const struct edge *e)
+{
+	int64_t due = TMR_NEVER;
+	uint32_t i;
+
+	for (i = 0; i < e->requests.len; i++) {
+		const struct req_row *r = tab_at(&e->requests, i);
+		int64_t at = r->limit_ns;
+
+		if (r->state == REQ_DONE || r->state == REQ_RELAY)
+			continue;
+		if (r->state == REQ_CONNECTING &&
+		    r->connect_ns + CONNECT_TIMEOUT_NS < at)
+			at = r->connect_ns + CONNECT_TIMEOUT_NS;
+		if (r->state == REQ_QUEUED && r->retry_ns < at)
+			at = r->retry_ns;
+		if (r->state == REQ_SENT && !r->stalled &&
+		    r->sent_ns + stall_age((struct edge *)e, r) < at)
+			at = r->sent_ns + stall_age((struct edge *)e, r);
+		if (at < due)
+			due = at;
+	}
+	return due;
+}
+
+void req_sweep(struct edge *e)
+{
+	uint32_t i = e->requests.len;
+
+	while (i-- > 0) {
+		struct req_row *r = tab_at(&e->requests, i);
+
+		if (r->state != REQ_DONE)
+			continue;
+		strbuf_free(&r->head);
+		strbuf_free(&r->body);
+		strbuf_free(&r->spare);
+		strbuf_free(&r->spare_body);
+		tab_del(&e->requests, tab_handle(&e->requests, i));
+	}
+}
