--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -370,7 +370,8 @@
 static void put_signs(struct edge *e, struct datagram *d)
 {
 	uint64_t signs[SIGNS * 2];
-	uint32_t i, n = 0, len = e->members.len;
+	size_t n = 0;
+	uint32_t i, len = e->members.len;
 	uint32_t start = (uint32_t)(edge_random(e) % len);
 
 	for (i = 0; i < len && n < SIGNS; i++) {
@@ -384,7 +385,7 @@
 			(uint64_t)((e->ev.now_ns - m->heard_ns) / NS_PER_MS);
 		n++;
 	}
-	mpk_put_array(&d->out, n * 2);
+	mpk_put_array(&d->out, (uint32_t)n * 2);
 	for (i = 0; i < n * 2; i++)
 		mpk_put_uint(&d->out, signs[i]);
 }
