--- a/src/exits.h
+++ b/src/exits.h
@@ -1,7 +1,7 @@
 #ifndef EXITS_H
 #define EXITS_H
 
-/* Exit codes of the command line; documented in docs/OPERATORS.md. */
+/* Exit codes of the command line; documented in docs/OPERATIONS.md. */
 enum exits {
 	EXITS_OK = 0,
 	EXITS_FAILURE = 1,
