--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -27,6 +27,8 @@
 	uint32_t requests[3];
 	uint32_t repeats[3];
 	int64_t half_since_ns;
+	/* Last request of this VM that may be repeated; 0 for none. */
+	int64_t safe_ns;
 	/* Running mean of the time to a complete answer. */
 	int64_t mean_ns;
 };
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -20,7 +20,10 @@
 #define UNSAFE_TRIAL_NS (1700 * NS_PER_MS)
 /* A server in use that got no work for this long is given some: capacity
  * that is not used for two seconds counts as taken out of service. */
-#define COVER_NS (1200 * NS_PER_MS)
+#define COVER_NS (1400 * NS_PER_MS)
+/* Time since a service's last repeatable request until it counts as one
+ * without any. */
+#define EXPLORED_NS (10 * NS_PER_S)
 /* Servers that a VM hears of in its first seconds are not newcomers. */
 #define SETTLED_NS (5 * NS_PER_S)
 /* Spread of the pause, so that VMs do not try at the same moment. */
@@ -171,6 +174,14 @@
 	       (s->suspect && e->ev.now_ns - s->suspect_ns < FAR_MEMORY_NS);
 }
 
+/* Repeatable work of the service reaches idle servers without being told. */
+static bool is_explored(const struct edge *e, const struct srv_row *s)
+{
+	const struct svc_row *svc = edge_service((struct edge *)e, s->service);
+
+	return svc->safe_ns && e->ev.now_ns - svc->safe_ns < EXPLORED_NS;
+}
+
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
 		    enum conf_kind kind)
 {
@@ -179,7 +190,7 @@
 	if (now < s->next_trial_ns)
 		return false;
 	if (!s->suspect && s->proof_ns)
-		return now - s->proof_ns > COVER_NS;
+		return now - s->proof_ns > COVER_NS && !is_explored(e, s);
 	if (kind == CONF_SAFE)
 		return true;
 	/* A server that joined gets work also where none may be repeated. */
--- a/src/edge/load.c
+++ b/src/edge/load.c
@@ -12,7 +12,7 @@
 #define PERIOD_NS (100 * NS_PER_MS)
 /* VMs of a region for which that interval holds; with more it grows, so that
  * the messages that a VM receives stay the same. */
-#define PERIOD_VMS 16
+#define PERIOD_VMS 24
 /* A report counts for this many intervals without another one. */
 #define REPORT_PERIODS 12
 #define SUMMARY_PERIOD_NS (250 * NS_PER_MS)
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -15,7 +15,7 @@
 #define CONNECT_COST 40
 /* One more request of this VM at the same server. */
 /* Load up to this share of the slots costs little, in thousandths. */
-#define FREE_LOAD 600
+#define FREE_LOAD 800
 /* Of an idle server to work that may not be repeated. */
 #define UNPROVED_COST 80
 /* Cost of the last free slot, beyond FREE_LOAD: some servers slow down. */
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -179,6 +179,8 @@
 	str_copy(r->id, sizeof(r->id), hreq_get(head, e->dia->request_id));
 	set_route(e, r, route);
 	bud_request(e, edge_service(e, r->service));
+	if (r->kind == CONF_SAFE)
+		edge_service(e, r->service)->safe_ns = e->ev.now_ns;
 	copy_head(e, r, head);
 	return h;
 }
