--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -21,6 +21,9 @@
 /* A reading for changes is answered when there is one. An answer that is lost
  * is noticed only after this time, so it is below the bound for a change. */
 #define CONFIG_WAIT_NS (1500 * NS_PER_MS)
+/* Notices after the first one of a new configuration, and their interval. */
+#define CONFIG_REPEATS 2
+#define REPEAT_NS (200 * NS_PER_MS)
 /* Time to hear of other VMs before the first reading. */
 #define DISCOVERY_NS (300 * NS_PER_MS)
 /* First pause after a failed reading; it doubles. */
@@ -306,6 +309,21 @@
 						 : PERIOD_NS));
 }
 
+/* A notice may be lost, and the first reader sends its own version only. */
+static void repeat_notice(void *ctx, int64_t now_ns)
+{
+	struct edge *e = ctx;
+
+	notify(e);
+	if (e->sync.repeats_left && --e->sync.repeats_left)
+		tmr_subscribe(&e->ev.timers,
+			      &(struct tmr_opts){
+				      .due_ns = now_ns + REPEAT_NS,
+				      .fire = repeat_notice,
+				      .ctx = e,
+			      });
+}
+
 /* A failed reading of the configuration is repeated by those who read. */
 static void config_due(void *ctx, int64_t now_ns)
 {
@@ -341,7 +359,14 @@
 	s->config_version = result == SYNC_TOO_OLD ? 0 : version;
 	if (e->conf && e->conf->version != s->notified_config) {
 		s->notified_config = e->conf->version;
+		s->repeats_left = CONFIG_REPEATS;
 		notify(e);
+		tmr_subscribe(&e->ev.timers,
+			      &(struct tmr_opts){
+				      .due_ns = e->ev.now_ns + REPEAT_NS,
+				      .fire = repeat_notice,
+				      .ctx = e,
+			      });
 	}
 	if (result == SYNC_TOO_OLD || sync_rank(e) < CONFIG_READERS)
 		read_config(e, e->conf ? CONFIG_WAIT_NS : 0);
@@ -422,7 +447,7 @@
 		&e->members, idx_get(&e->member_by_key, e->sync.fetch_from));
 
 	e->sync.fetch_planned = false;
-	if (m && !e->sync.fetching && !e->sync.reading_servers)
+	if (m && !e->sync.fetching)
 		fetch(e, m);
 }
 
@@ -449,13 +474,14 @@
 	struct sync_state *s = &e->sync;
 	uint32_t i;
 
-	if (n->to < s->servers_version && n->to + 1 < s->servers_version)
-		return;
+	/* A reader of the configuration may be behind with the servers. */
 	if (!edge_has_state(e) || n->config > e->conf->version ||
 	    n->from > s->servers_version) {
 		plan_fetch(e, from);
 		return;
 	}
+	if (n->to < s->servers_version)
+		return;
 	if (n->store_back_ns &&
 	    e->ev.now_ns - n->store_back_ns > e->store_back_ns)
 		e->store_back_ns = e->ev.now_ns - n->store_back_ns;
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -277,6 +277,24 @@
 	fix_free(&e);
 }
 
+/* Guards against a new configuration that one lost datagram keeps from the
+ * region: the notice is repeated while there is something new in it. */
+static void test_config_repeated(void **state)
+{
+	(void)state;
+	fix_init(&e);
+	edge_set_conf(&e, conf_of(1));
+	e.servers_known = true;
+	start_sync();
+	run_for(400 * NS_PER_MS);
+	edge_set_conf(&e, conf_of(2));
+	sync_config_done(&e, SYNC_OK, 9);
+	assert_int_equal(e.sync.repeats_left, 2);
+	run_for(NS_PER_S);
+	assert_int_equal(e.sync.repeats_left, 0);
+	fix_free(&e);
+}
+
 static struct cdc_row row_of(const char *id, uint64_t version, bool draining)
 {
 	struct cdc_row row = {.report = fix_report(id, "z0", version)};
@@ -292,15 +310,20 @@
 	static const struct {
 		const char *name;
 		uint64_t from, to;
+		uint64_t config;
 		bool applied;
 		/* The VM asks another one for its state. */
 		bool fetches;
 		uint64_t version;
 	} cases[] = {
-		{"next", 5, 6, true, false, 6},
-		{"repeated", 3, 6, true, false, 6},
-		{"gap", 6, 8, false, true, 5},
-		{"old", 1, 3, false, false, 5},
+		{"next", 5, 6, 1, true, false, 6},
+		{"repeated", 3, 6, 1, true, false, 6},
+		{"gap", 6, 8, 1, false, true, 5},
+		{"old", 1, 3, 1, false, false, 5},
+		{"new configuration", 5, 6, 2, false, true, 5},
+		/* Of a second reader that is behind with the servers
+		 * (kanal-tor, trouble-3, seed 1086452995205). */
+		{"new configuration, old rows", 1, 3, 2, false, true, 5},
 	};
 	size_t i;
 
@@ -308,7 +331,7 @@
 	for (i = 0; i < COUNT(cases); i++) {
 		struct mem_record r = fix_record("vm1", "z0", "r0");
 		struct sync_notice n = {
-			.config = 1,
+			.config = cases[i].config,
 			.from = cases[i].from,
 			.to = cases[i].to,
 			.row_count = 1,
@@ -426,6 +449,7 @@
 		cmocka_unit_test(test_addresses),
 		cmocka_unit_test(test_who_reads),
 		cmocka_unit_test(test_config_wait),
+		cmocka_unit_test(test_config_repeated),
 		cmocka_unit_test(test_notices),
 		cmocka_unit_test(test_state),
 		cmocka_unit_test(test_loads),
