--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -54,6 +54,14 @@
 	strbuf_reset(&c->in);
 }
 
+void call_cancel(struct edge *e, struct hnd row)
+{
+	struct call_row *c = get(e, row);
+
+	c->busy = false;
+	disconnect(c);
+}
+
 /* The callback may begin the next call on the row. */
 static void finish(struct call_row *c, enum err err)
 {
--- a/src/edge/call.h
+++ b/src/edge/call.h
@@ -65,6 +65,8 @@
 		   const struct sockaddr_in *addr);
 /* The row must not be busy. The result comes later, never within the call. */
 void call_begin(struct edge *e, struct hnd row, const struct call_request *req);
+/* Gives up the row's call; its callback is not run. */
+void call_cancel(struct edge *e, struct hnd row);
 bool call_is_busy(const struct edge *e, struct hnd row);
 void call_tick(struct edge *e, int64_t now_ns);
 int64_t call_next_due(const struct edge *e);
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -278,6 +278,19 @@
 	schedule(e, next_retry(e, &s->servers_pause_ns));
 }
 
+/* The store is back: a call from before may never be answered. */
+static void restart_config(struct edge *e)
+{
+	struct sync_state *s = &e->sync;
+
+	if (s->reading_config)
+		source.cancel_config(source.ctx);
+	s->reading_config = false;
+	s->config_retry_ns = 0;
+	s->config_pause_ns = RETRY_MIN_NS;
+	read_config(e, 0);
+}
+
 void sync_servers_done(struct edge *e, enum sync_result result,
 		       uint64_t version)
 {
@@ -290,8 +303,10 @@
 	}
 	edge_set_store(e, true);
 	s->servers_pause_ns = RETRY_MIN_NS;
-	if (s->servers_failing)
+	if (s->servers_failing) {
 		log_store(e, "servers", "regained", false);
+		restart_config(e);
+	}
 	s->servers_failing = false;
 	if (result == SYNC_TOO_OLD) {
 		log_store(e, "servers", "history gone", false);
--- a/src/edge/sync.h
+++ b/src/edge/sync.h
@@ -17,6 +17,8 @@
 	 */
 	void (*read_config)(void *ctx, uint64_t after, int64_t wait_ns);
 	void (*read_servers)(void *ctx, uint64_t after);
+	/* Gives up a reading of the configuration; no result follows. */
+	void (*cancel_config)(void *ctx);
 	void *ctx;
 };
 
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -158,6 +158,7 @@
 static struct {
 	int config;
 	int servers;
+	int cancelled;
 	uint64_t after;
 	int64_t wait_ns;
 } reads;
@@ -177,12 +178,19 @@
 	reads.after = after;
 }
 
+static void cancel_config(void *ctx)
+{
+	(void)ctx;
+	reads.cancelled++;
+}
+
 static void start_sync(void)
 {
 	memset(&reads, 0, sizeof(reads));
 	sync_start(&e, &(struct sync_source){
 			       .read_config = read_config,
 			       .read_servers = read_servers,
+			       .cancel_config = cancel_config,
 		       });
 }
 
@@ -295,6 +303,26 @@
 	fix_free(&e);
 }
 
+/* Guards against a reading of the configuration from before an outage whose
+ * answer never comes (kanal-tor, trouble-3, seed 227234590714). */
+static void test_config_after_outage(void **state)
+{
+	(void)state;
+	fix_init(&e);
+	edge_set_conf(&e, conf_of(1));
+	e.servers_known = true;
+	start_sync();
+	run_for(400 * NS_PER_MS);
+	assert_int_equal(reads.config, 1);
+	sync_servers_done(&e, SYNC_FAILED, 0);
+	run_for(NS_PER_S);
+	sync_servers_done(&e, SYNC_OK, 5);
+	assert_int_equal(reads.cancelled, 1);
+	assert_int_equal(reads.config, 2);
+	assert_int_equal(reads.wait_ns, 0);
+	fix_free(&e);
+}
+
 static struct cdc_row row_of(const char *id, uint64_t version, bool draining)
 {
 	struct cdc_row row = {.report = fix_report(id, "z0", version)};
@@ -450,6 +478,7 @@
 		cmocka_unit_test(test_who_reads),
 		cmocka_unit_test(test_config_wait),
 		cmocka_unit_test(test_config_repeated),
+		cmocka_unit_test(test_config_after_outage),
 		cmocka_unit_test(test_notices),
 		cmocka_unit_test(test_state),
 		cmocka_unit_test(test_loads),
