--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -188,15 +188,8 @@
 	news_members(e, true);
 }
 
-static enum err init(struct edge *e, const struct edge_opts *opts)
+void edge_init_tables(struct edge *e)
 {
-	struct timespec now;
-
-	e->dia = opts->dialect;
-	e->ops = opts->ops;
-	e->news_fd = -1;
-	if (ev_init(&e->ev))
-		return ERR_IO;
 	tab_init(&e->services, sizeof(struct svc_row));
 	tab_init(&e->servers, sizeof(struct srv_row));
 	tab_init(&e->requests, sizeof(struct req_row));
@@ -208,6 +201,33 @@
 	idx_init(&e->server_by_key);
 	idx_init(&e->server_by_tag);
 	idx_init(&e->member_by_key);
+}
+
+void edge_free_tables(struct edge *e)
+{
+	tab_free(&e->services);
+	tab_free(&e->servers);
+	tab_free(&e->requests);
+	tab_free(&e->callers);
+	tab_free(&e->links);
+	tab_free(&e->members);
+	tab_free(&e->calls);
+	tab_free(&e->far);
+	idx_free(&e->server_by_key);
+	idx_free(&e->server_by_tag);
+	idx_free(&e->member_by_key);
+}
+
+static enum err init(struct edge *e, const struct edge_opts *opts)
+{
+	struct timespec now;
+
+	e->dia = opts->dialect;
+	e->ops = opts->ops;
+	e->news_fd = -1;
+	if (ev_init(&e->ev))
+		return ERR_IO;
+	edge_init_tables(e);
 	clock_gettime(CLOCK_REALTIME, &now);
 	e->incarnation =
 		(uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
@@ -228,17 +248,7 @@
 	req_sweep(e);
 	call_stop(e);
 	news_stop(e);
-	tab_free(&e->services);
-	tab_free(&e->servers);
-	tab_free(&e->requests);
-	tab_free(&e->callers);
-	tab_free(&e->links);
-	tab_free(&e->members);
-	tab_free(&e->calls);
-	tab_free(&e->far);
-	idx_free(&e->server_by_key);
-	idx_free(&e->server_by_tag);
-	idx_free(&e->member_by_key);
+	edge_free_tables(e);
 	conf_free(e->conf);
 	ev_free(&e->ev);
 	eset_free(&e->set);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -315,6 +315,8 @@
 /* Key of a name: a zone, a region, a VM or a server; never 0. */
 uint64_t edge_key(struct str name);
 uint64_t edge_random(struct edge *e);
+void edge_init_tables(struct edge *e);
+void edge_free_tables(struct edge *e);
 /* True while new requests of callers are served. */
 bool edge_is_ready(const struct edge *e);
 /* False in the last part of a planned stop. */
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -4,16 +4,15 @@
 #include "load.h"
 
 /*
- * Costs in thousandths of the worth of a request. Bytes between zones and
- * regions and new connections are what the users pay for; waiting behind
- * other work costs the answer's worth.
+ * Costs in thousandths of the worth of a request. Bytes and connections have
+ * the users' prices; waiting behind other work costs the answer's worth.
  */
 #define ZONE_COST_PER_KB 6
 #define REGION_COST_PER_KB 41
 /* Typical answer, added to the size of the request. */
 #define ANSWER_KB 5
+/* Between the prices of the two users, 17 and 84. */
 #define CONNECT_COST 40
-/* One more request of this VM at the same server. */
 /* Load up to this share of the slots costs little, in thousandths. */
 #define FREE_LOAD 800
 /* Of an idle server to work that may not be repeated. */
@@ -22,6 +21,7 @@
 #define NEARLY_FULL_COST 150
 /* Cost of waiting for one whole round of a server's slots. */
 #define ROUND_COST 450
+/* A server that has just started works at half its speed. */
 #define WARM_UP_COST 300
 /* A server to which the request would not be admitted; it costs more than
  * any distance. */
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -4,9 +4,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "call.h"
-#include "cin.h"
-#include "link.h"
 #include "mem.h"
 #include "srv.h"
 
@@ -28,17 +25,7 @@
 	e->ev.now_ns = 1000 * NS_PER_S;
 	e->dia = &dia_default;
 	tmr_init(&e->ev.timers);
-	tab_init(&e->services, sizeof(struct svc_row));
-	tab_init(&e->servers, sizeof(struct srv_row));
-	tab_init(&e->requests, sizeof(struct req_row));
-	tab_init(&e->callers, sizeof(struct cin_row));
-	tab_init(&e->links, sizeof(struct link_row));
-	tab_init(&e->members, sizeof(struct mem_row));
-	tab_init(&e->calls, sizeof(struct call_row));
-	tab_init(&e->far, sizeof(struct far_row));
-	idx_init(&e->server_by_key);
-	idx_init(&e->server_by_tag);
-	idx_init(&e->member_by_key);
+	edge_init_tables(e);
 	e->set.floor_permille = 500;
 	e->set.retry_permille = 200;
 	e->set.retry_slack = 10;
@@ -58,17 +45,7 @@
 static inline void fix_free(struct edge *e)
 {
 	tmr_free(&e->ev.timers);
-	tab_free(&e->services);
-	tab_free(&e->servers);
-	tab_free(&e->requests);
-	tab_free(&e->callers);
-	tab_free(&e->links);
-	tab_free(&e->members);
-	tab_free(&e->calls);
-	tab_free(&e->far);
-	idx_free(&e->server_by_key);
-	idx_free(&e->server_by_tag);
-	idx_free(&e->member_by_key);
+	edge_free_tables(e);
 	conf_free(e->conf);
 }
 
