Look members up in one place, and drop unused state of edge VMs

Eight copies of the same look-up are now mem_find(). Unused: an outcome that no attempt reported, two counters of rows, and conf_service(). Behaviour is the same.

--- a/src/edge/conf.c
+++ b/src/edge/conf.c
@@ -108,16 +108,6 @@
 		(struct hnd){c->route_count, 1});
 }
 
-const struct conf_service *conf_service(const struct conf *c, uint64_t key)
-{
-	uint32_t i;
-
-	for (i = 0; i < c->service_count; i++)
-		if (c->services[i].key == key)
-			return &c->services[i];
-	return NULL;
-}
-
 const struct conf_route *conf_find(const struct conf *c, struct str host,
 				   struct str path)
 {
--- a/src/edge/conf.h
+++ b/src/edge/conf.h
@@ -81,7 +81,6 @@
 /* Adds a route with its parts; strings are copied. */
 void conf_add_route(struct conf *c, const struct conf_route *route,
 		    const struct conf_part *parts, uint32_t part_count);
-const struct conf_service *conf_service(const struct conf *c, uint64_t key);
 /*
  * Route of the host with the longest prefix that begins the path; NULL when
  * none matches. The host may carry a port, the path a query.
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -144,7 +144,6 @@
 	/* When a request was last taken without a failure. */
 	int64_t proof_ns;
 	uint32_t trial_successes;
-	uint32_t trial_failures;
 	/* Weight of recent failures; decays with time from score_ns. */
 	double score;
 	int64_t score_ns;
@@ -195,7 +194,6 @@
 	bool chunked;
 	bool has_length;
 	int64_t start_ns;
-	int64_t queued_ns;
 	int64_t retry_ns;
 	int64_t connect_ns;
 	int64_t sent_ns;
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -37,13 +37,9 @@
 	/* Added to the score. */
 	double weight;
 } outcomes[HLTH_OUTCOMES] = {
-	[HLTH_SUCCESS] = {"success", 0},
-	[HLTH_ERROR] = {"error", 0.45},
-	[HLTH_BROKEN] = {"broken", 1.0},
-	[HLTH_STALLED] = {"stalled", 1.0},
-	[HLTH_UNREACHABLE] = {"unreachable", 1.0},
-	[HLTH_FULL] = {"full", 0},
-	[HLTH_REPLACED] = {"replaced", 1.0},
+	[HLTH_SUCCESS] = {"success", 0}, [HLTH_ERROR] = {"error", 0.45},
+	[HLTH_BROKEN] = {"broken", 1.0}, [HLTH_STALLED] = {"stalled", 1.0},
+	[HLTH_FULL] = {"full", 0},	 [HLTH_REPLACED] = {"replaced", 1.0},
 };
 
 const char *hlth_name(enum hlth_outcome outcome)
@@ -93,7 +89,6 @@
 	s->trial_successes = 0;
 	s->last_trial_ns = e->ev.now_ns;
 	if (s->suspect) {
-		s->trial_failures++;
 		s->suspect_ns = s->region == e->region ? s->suspect_ns
 						       : e->ev.now_ns;
 		plan_trial(e, s);
@@ -103,7 +98,6 @@
 		return;
 	s->suspect = true;
 	s->suspect_ns = e->ev.now_ns;
-	s->trial_failures = 0;
 	plan_trial(e, s);
 	ctr_add(CTR_EJECTIONS, 1);
 	log_change(s, "eject", outcome, own);
--- a/src/edge/hlth.h
+++ b/src/edge/hlth.h
@@ -18,8 +18,6 @@
 	HLTH_BROKEN,
 	/* No answer within the request's time. */
 	HLTH_STALLED,
-	/* No connection could be made. */
-	HLTH_UNREACHABLE,
 	/* Refused for lack of room; says nothing about its health. */
 	HLTH_FULL,
 	/* Another server answers at the address. */
--- a/src/edge/mem.c
+++ b/src/edge/mem.c
@@ -9,9 +9,14 @@
 /* Its row is removed after this one; a frozen VM may come back until then. */
 #define FORGET_NS (60 * NS_PER_S)
 
-struct mem_row *mem_self(struct edge *e)
+struct mem_row *mem_find(const struct edge *e, uint64_t key)
 {
-	return tab_get(&e->members, idx_get(&e->member_by_key, e->self));
+	return tab_get(&e->members, idx_get(&e->member_by_key, key));
+}
+
+struct mem_row *mem_self(const struct edge *e)
+{
+	return mem_find(e, e->self);
 }
 
 static struct mem_row *add(struct edge *e, uint64_t key)
@@ -49,8 +54,7 @@
 
 bool mem_hear(struct edge *e, const struct mem_record *r)
 {
-	struct mem_row *m =
-		tab_get(&e->members, idx_get(&e->member_by_key, r->key));
+	struct mem_row *m = mem_find(e, r->key);
 	bool added = !m;
 
 	if (r->key == e->self || !r->key)
@@ -76,8 +80,7 @@
 
 void mem_hear_sign(struct edge *e, uint64_t key, int64_t age_ns)
 {
-	struct mem_row *m =
-		tab_get(&e->members, idx_get(&e->member_by_key, key));
+	struct mem_row *m = mem_find(e, key);
 
 	if (m && e->ev.now_ns - age_ns > m->heard_ns)
 		m->heard_ns = e->ev.now_ns - age_ns;
--- a/src/edge/mem.h
+++ b/src/edge/mem.h
@@ -32,7 +32,9 @@
 void mem_hear_sign(struct edge *e, uint64_t key, int64_t age_ns);
 void mem_describe(const struct edge *e, const struct mem_row *m,
 		  struct mem_record *out);
-struct mem_row *mem_self(struct edge *e);
+/* NULL for a VM that is not known. */
+struct mem_row *mem_find(const struct edge *e, uint64_t key);
+struct mem_row *mem_self(const struct edge *e);
 /* VMs heard of recently, this one included. */
 uint32_t mem_alive(const struct edge *e);
 bool mem_is_alive(const struct edge *e, const struct mem_row *m);
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -162,8 +162,7 @@
 static void hear_ejection(struct edge *e, struct mpk_in *in, uint64_t sender)
 {
 	uint64_t key = mpk_get_uint(in, 1, UINT64_MAX);
-	const struct mem_row *from =
-		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	const struct mem_row *from = mem_find(e, sender);
 	struct srv_row *s = srv_find(e, key, NULL);
 	struct datagram d;
 
@@ -203,8 +202,7 @@
 
 static void hear_notice(struct edge *e, struct mpk_in *in, uint64_t sender)
 {
-	const struct mem_row *from =
-		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	const struct mem_row *from = mem_find(e, sender);
 	struct sync_notice n = {.row_count = 0};
 	uint32_t i;
 
@@ -236,8 +234,7 @@
 
 static void hear_load(struct edge *e, struct mpk_in *in, uint64_t sender)
 {
-	struct mem_row *from =
-		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	struct mem_row *from = mem_find(e, sender);
 	struct load_report r;
 	uint32_t i;
 
@@ -279,8 +276,7 @@
 
 static void hear_summary(struct edge *e, struct mpk_in *in, uint64_t sender)
 {
-	const struct mem_row *from =
-		tab_get(&e->members, idx_get(&e->member_by_key, sender));
+	const struct mem_row *from = mem_find(e, sender);
 	struct load_summary s = {.region = 0};
 	struct datagram d;
 	uint32_t i;
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -246,10 +246,8 @@
 	return mean ? mean : REQ_MEAN_START_NS;
 }
 
-static void wait_for_room(struct edge *e, struct req_row *r, int64_t until_ns)
+static void wait_for_room(struct req_row *r, int64_t until_ns)
 {
-	if (r->state != REQ_QUEUED)
-		r->queued_ns = e->ev.now_ns;
 	r->state = REQ_QUEUED;
 	r->retry_ns = until_ns;
 }
@@ -293,9 +291,8 @@
 		return true;
 	case GATE_WAIT:
 		wait_for_room(
-			e, r,
-			e->ev.now_ns + QUEUE_LOOK_NS +
-				(int64_t)(edge_random(e) % QUEUE_LOOK_NS));
+			r, e->ev.now_ns + QUEUE_LOOK_NS +
+				   (int64_t)(edge_random(e) % QUEUE_LOOK_NS));
 		return false;
 	case GATE_REFUSE:
 	default:
@@ -317,7 +314,7 @@
 	}
 	pick = pick_server(e, r, gate_max_load(&gate));
 	if (pick.result == PICK_FULL) {
-		wait_for_room(e, r, pick.retry_ns);
+		wait_for_room(r, pick.retry_ns);
 		return;
 	}
 	if (pick.result == PICK_NONE) {
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -56,7 +56,7 @@
 
 uint32_t sync_rank(const struct edge *e)
 {
-	const struct mem_row *self = mem_self((struct edge *)e);
+	const struct mem_row *self = mem_self(e);
 	uint32_t i, rank = 0;
 
 	for (i = 0; i < e->members.len; i++) {
@@ -458,8 +458,7 @@
 static void fetch_due(void *ctx, int64_t now_ns)
 {
 	struct edge *e = ctx;
-	const struct mem_row *m = tab_get(
-		&e->members, idx_get(&e->member_by_key, e->sync.fetch_from));
+	const struct mem_row *m = mem_find(e, e->sync.fetch_from);
 
 	e->sync.fetch_planned = false;
 	if (m && !e->sync.fetching)
