Lengthen the pauses between trials in a calm service

Cause: servers stay sick for about ten seconds, and each got a trial every 0.95 s.

Change: the pause doubles with each failed trial, twice at most, while fewer than 6% of the region's requests for the service are lost; load reports carry these counts. Where more are lost the old pace holds.

--- a/src/edge/bud.c
+++ b/src/edge/bud.c
@@ -12,14 +12,28 @@
 /* Part of the limit up to which repeats may be risked for trials. */
 #define TRIAL_PART 600
 
+/* Slots that count as recent: three seconds of a window of 10 s. */
+#define RECENT_SLOTS 6
+/* Part of the recent requests that may be lost in a calm service, in
+ * thousandths. */
+#define CALM_LOST 60
+
 /* What is known of a service's window. */
 struct window {
 	int64_t requests;
 	int64_t repeats;
+	int64_t recent;
+	int64_t lost;
 	/* VMs that the counts come from, this one included. */
 	int64_t vms;
 };
 
+static void shift(uint32_t counts[BUD_SLOTS])
+{
+	memmove(&counts[1], &counts[0], sizeof(counts[0]) * (BUD_SLOTS - 1));
+	counts[0] = 0;
+}
+
 /* Slots older than the window are dropped. */
 static void advance(struct edge *e, struct svc_row *svc)
 {
@@ -30,15 +44,13 @@
 	if (e->ev.now_ns - svc->slot_since_ns > slot * BUD_SLOTS) {
 		memset(svc->requests, 0, sizeof(svc->requests));
 		memset(svc->repeats, 0, sizeof(svc->repeats));
+		memset(svc->lost, 0, sizeof(svc->lost));
 		svc->slot_since_ns = e->ev.now_ns;
 	}
 	while (e->ev.now_ns - svc->slot_since_ns >= slot) {
-		memmove(&svc->requests[1], &svc->requests[0],
-			sizeof(svc->requests[0]) * (BUD_SLOTS - 1));
-		memmove(&svc->repeats[1], &svc->repeats[0],
-			sizeof(svc->repeats[0]) * (BUD_SLOTS - 1));
-		svc->requests[0] = 0;
-		svc->repeats[0] = 0;
+		shift(svc->requests);
+		shift(svc->repeats);
+		shift(svc->lost);
 		svc->slot_since_ns += slot;
 	}
 }
@@ -53,6 +65,8 @@
 	for (i = 0; i < BUD_SLOTS; i++) {
 		c.requests += i < BUD_SLOTS - 1 ? svc->requests[i] : 0;
 		c.repeats += svc->repeats[i];
+		c.recent += i < RECENT_SLOTS ? svc->requests[i] : 0;
+		c.lost += i < RECENT_SLOTS ? svc->lost[i] : 0;
 	}
 	return c;
 }
@@ -61,6 +75,8 @@
 {
 	w->requests += c->requests;
 	w->repeats += c->repeats;
+	w->recent += c->recent;
+	w->lost += c->lost;
 	w->vms++;
 }
 
@@ -101,6 +117,21 @@
 	svc->requests[0]++;
 }
 
+void bud_lost(struct edge *e, struct svc_row *svc)
+{
+	advance(e, svc);
+	svc->lost[0]++;
+}
+
+bool bud_is_calm(struct edge *e, struct svc_row *svc)
+{
+	struct window w;
+
+	advance(e, svc);
+	w = count_all(e, svc);
+	return w.lost * 1000 <= w.recent * CALM_LOST;
+}
+
 /* True while the repeats, one more included, stay within a part of the limit,
  * in thousandths. */
 static bool has_room(struct edge *e, struct svc_row *svc, int64_t part)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -24,11 +24,16 @@
 /* Services that a report of the budget names. */
 #define BUD_MAX_COUNTS 16
 
-/* Requests and repeats of one VM for a service within the window. */
+/* What one VM has counted for a service. */
 struct bud_count {
 	uint64_t service;
+	/* Within the window of the retry budget. */
 	uint32_t requests;
 	uint32_t repeats;
+	/* Within the last seconds: requests, and those that no server
+	 * answered with a success. */
+	uint32_t recent;
+	uint32_t lost;
 };
 
 struct bud_report {
@@ -43,6 +48,7 @@
 	/* Of this VM, newest first. */
 	uint32_t requests[BUD_SLOTS];
 	uint32_t repeats[BUD_SLOTS];
+	uint32_t lost[BUD_SLOTS];
 	int64_t slot_since_ns;
 	/* Repeats that no report to the other VMs holds yet. */
 	uint32_t unreported;
@@ -163,6 +169,8 @@
 	/* When a request was last taken without a failure. */
 	int64_t proof_ns;
 	uint32_t trial_successes;
+	/* Trials in a row that failed. */
+	uint32_t trial_failures;
 	/* Weight of recent failures; decays with time from score_ns. */
 	double score;
 	int64_t score_ns;
--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -18,6 +18,10 @@
 #define TRIAL_NS (800 * NS_PER_MS)
 /* The same by work that runs once at most. */
 #define UNSAFE_TRIAL_NS (1700 * NS_PER_MS)
+/* A pause doubles with each failed trial, up to this many times. */
+#define TRIAL_DOUBLINGS 2
+/* A failure so soon after another one belongs to the same trial. */
+#define SAME_TRIAL_NS (300 * NS_PER_MS)
 /* A server in use that got no work for this long is given some: capacity
  * that is not used for two seconds counts as taken out of service. */
 #define COVER_NS (1400 * NS_PER_MS)
@@ -87,6 +91,10 @@
 	decay(e, s);
 	s->score += outcomes[outcome].weight;
 	s->trial_successes = 0;
+	if (!s->suspect)
+		s->trial_failures = 0;
+	else if (e->ev.now_ns - s->last_trial_ns > SAME_TRIAL_NS)
+		s->trial_failures++;
 	s->last_trial_ns = e->ev.now_ns;
 	if (s->suspect) {
 		s->suspect_ns = s->region == e->region ? s->suspect_ns
@@ -114,6 +122,7 @@
 		return;
 	}
 	s->last_trial_ns = e->ev.now_ns;
+	s->trial_failures = 0;
 	if (++s->trial_successes < RETURN_SUCCESSES) {
 		s->next_trial_ns = e->ev.now_ns;
 		return;
@@ -176,13 +185,31 @@
 	return svc->safe_ns && e->ev.now_ns - svc->safe_ns < EXPLORED_NS;
 }
 
+/* Pause after the last trial of an ejected server. A server that failed its
+ * trials will mostly fail the next one, which costs a repeat or, where work
+ * may not be repeated, an answer. Where many requests are lost, capacity is
+ * worth more than that. */
+static int64_t trial_pause(const struct srv_row *s, enum conf_kind kind,
+			   bool calm)
+{
+	int64_t pause = kind == CONF_SAFE ? TRIAL_NS : UNSAFE_TRIAL_NS;
+
+	if (!calm)
+		return pause;
+	return pause << (s->trial_failures < TRIAL_DOUBLINGS ? s->trial_failures
+							     : TRIAL_DOUBLINGS);
+}
+
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
-		    enum conf_kind kind)
+		    enum conf_kind kind, bool calm)
 {
 	int64_t now = e->ev.now_ns;
 
 	if (now < s->next_trial_ns)
 		return false;
+	if (s->suspect && !s->trial_successes)
+		return kind != CONF_UPLOAD &&
+		       now - s->last_trial_ns > trial_pause(s, kind, calm);
 	if (!s->suspect && s->proof_ns)
 		return now - s->proof_ns > COVER_NS && !is_explored(e, s);
 	if (kind == CONF_SAFE)
--- a/src/edge/hlth.h
+++ b/src/edge/hlth.h
@@ -38,8 +38,9 @@
 /* A request was taken without a failure at that time. */
 void hlth_prove(struct srv_row *s, int64_t at_ns);
 /* True when a request of the kind is to try the server now: it is ejected, or
- * nobody is known to have used it lately. */
+ * nobody is known to have used it lately. In a calm service the pause grows
+ * with each trial that fails. */
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
-		    enum conf_kind kind);
+		    enum conf_kind kind, bool calm);
 
 #endif
--- a/src/edge/news.c
+++ b/src/edge/news.c
@@ -24,6 +24,8 @@
 /* VMs of which a message says only that they are alive. */
 #define SIGNS 72
 #define RECORD_FIELDS 11
+/* Numbers for each service in a report of the budget. */
+#define BUDGET_FIELDS 5
 /* Datagrams read for one event, so that callers are not kept waiting. */
 #define READ_BATCH 64
 /* VMs that hear from this one in each period, by region. */
@@ -223,11 +225,13 @@
 {
 	uint32_t i;
 
-	mpk_put_array(out, r->count * 3);
+	mpk_put_array(out, r->count * BUDGET_FIELDS);
 	for (i = 0; i < r->count; i++) {
 		mpk_put_uint(out, r->counts[i].service);
 		mpk_put_uint(out, r->counts[i].requests);
 		mpk_put_uint(out, r->counts[i].repeats);
+		mpk_put_uint(out, r->counts[i].recent);
+		mpk_put_uint(out, r->counts[i].lost);
 	}
 }
 
@@ -236,13 +240,16 @@
 	uint32_t i;
 
 	memset(r, 0, sizeof(*r));
-	r->count = mpk_get_list(in, BUD_MAX_COUNTS * 3) / 3;
+	r->count = mpk_get_list(in, BUD_MAX_COUNTS * BUDGET_FIELDS) /
+		   BUDGET_FIELDS;
 	for (i = 0; i < r->count; i++) {
 		r->counts[i].service = mpk_get_uint(in, 0, UINT64_MAX);
 		r->counts[i].requests =
 			(uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 		r->counts[i].repeats =
 			(uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+		r->counts[i].recent = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+		r->counts[i].lost = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 	}
 }
 
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -145,17 +145,19 @@
 static int64_t find_trial(const struct view *v)
 {
 	int64_t best = -1, best_cost = 0;
+	bool calm;
 	uint32_t i;
 
 	if (v->req->sends || v->req->attempts < 2)
 		return -1;
+	calm = bud_is_calm(v->e, edge_service(v->e, v->req->service));
 	for (i = 0; i < v->e->servers.len; i++) {
 		const struct srv_row *s = tab_at(&v->e->servers, i);
 		int64_t c;
 
 		if (s->service != v->req->service || s->state != SRV_READY ||
 		    s->region != v->e->region || was_tried(v->req, s->key) ||
-		    !hlth_trial_due(v->e, s, v->req->kind) ||
+		    !hlth_trial_due(v->e, s, v->req->kind, calm) ||
 		    (!s->suspect && load_of(v->e, s) >= 1000))
 			continue;
 		c = s->next_trial_ns;
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -69,6 +69,7 @@
 	/* Only what surely has not run is reported so. */
 	if (status == 503 && r->may_have_run)
 		status = 502;
+	bud_lost(e, edge_service(e, r->service));
 	ctr_add(status == 503 ? CTR_REFUSED : CTR_UNKNOWN, 1);
 	ctr_observe(CTR_TIME_REQUEST, e->ev.now_ns - r->start_ns);
 	req_log(e, r, "refuse", why, status);
--- a/src/edge/srv.c
+++ b/src/edge/srv.c
@@ -64,6 +64,7 @@
 	s->suspect = false;
 	s->score = 0;
 	s->trial_successes = 0;
+	s->trial_failures = 0;
 	s->full_until_ns = 0;
 }
 
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -92,6 +92,65 @@
 	fix_free(&e);
 }
 
+/* Guards against trials that go on at the same pace while a server is sick for
+ * long: each that fails costs a repeat, or an answer in a service without
+ * repeatable work (tran-pumpcheck-grown, quiet-1: 260 of 487 lost bookings);
+ * and against capacity that stays out while many requests are lost (FLOOR). */
+static void test_trial_pause(void **state)
+{
+	static const struct {
+		const char *name;
+		enum conf_kind kind;
+		/* Of 100 requests. */
+		int lost;
+		int failed_trials;
+		/* Since the last failure. */
+		int pause_ms;
+		bool due;
+	} cases[] = {
+		{"first trial", CONF_SAFE, 0, 0, 1150, true},
+		{"second trial, early", CONF_SAFE, 0, 1, 1150, false},
+		{"second trial", CONF_SAFE, 0, 1, 1700, true},
+		{"fifth trial, early", CONF_SAFE, 0, 4, 3000, false},
+		{"fifth trial", CONF_SAFE, 0, 4, 3300, true},
+		{"many lost", CONF_SAFE, 20, 4, 1150, true},
+		{"unsafe, first", CONF_UNSAFE, 0, 0, 1750, true},
+		{"unsafe, later", CONF_UNSAFE, 0, 4, 6000, false},
+		{"unsafe, many lost", CONF_UNSAFE, 20, 4, 1750, true},
+		{"upload", CONF_UPLOAD, 20, 0, 9000, false},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct req_row r = fix_request(cases[i].kind);
+		struct svc_row *svc;
+		struct srv_row *sick;
+		bool due;
+		int k;
+
+		fix_init(&e);
+		sick = fix_server(&e, "i-0", "z0");
+		hlth_note(&e, sick, HLTH_BROKEN);
+		for (k = 0; k < cases[i].failed_trials; k++) {
+			fix_step(&e, 5 * NS_PER_S);
+			hlth_note(&e, sick, HLTH_BROKEN);
+			/* Of the same trial. */
+			hlth_hear(&e, sick, HLTH_BROKEN);
+		}
+		fix_step(&e, cases[i].pause_ms * NS_PER_MS);
+		svc = edge_service(&e, r.service);
+		for (k = 0; k < 100; k++)
+			bud_request(&e, svc);
+		for (k = 0; k < cases[i].lost; k++)
+			bud_lost(&e, svc);
+		due = hlth_trial_due(&e, sick, r.kind, bud_is_calm(&e, svc));
+		if (due != cases[i].due)
+			fail_msg("%s: due %d", cases[i].name, due);
+		fix_free(&e);
+	}
+}
+
 static struct srv_row *tab_at_server(uint32_t row)
 {
 	return tab_at(&e.servers, row);
@@ -419,6 +478,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_ejection),
 		cmocka_unit_test(test_return),
+		cmocka_unit_test(test_trial_pause),
 		cmocka_unit_test(test_newcomer),
 		cmocka_unit_test(test_floor),
 		cmocka_unit_test(test_placement),
