Let requests wait for the first configuration of a VM that starts

Cause: a VM takes connections before it has a configuration, and refused what came in the meantime.

Change: in the first second after its start, while no reading of the store has failed, a VM keeps such requests and routes them when the configuration is there. The ids of requests are kept whole: an id of more than 71 bytes was cut, so that its answers were taken for strays. Test: it_edge.sh, first request after a loss of all VMs (503 before).

--- a/scripts/it_edge.sh
+++ b/scripts/it_edge.sh
@@ -115,6 +115,20 @@
 	check "store back: served at VM $vm" "$status" 200
 done
 
+echo "# requests that are refused because their VM has just started"
+for n in 1 2 3; do
+	kill -KILL "${pid_of[e$n]}"
+done
+sleep 0.2
+edges
+for n in $(seq 100); do
+	ask 1 /unsafe/x -d booking
+	[ "$status" != 000 ] && break
+	sleep 0.01
+done
+check "first request after a loss of all VMs" "$status" 200
+wait_ready 1 2 3
+
 echo "# a store that refuses some VMs, loses answers or its history"
 control '{"mode": "busy", "clients": ["127.21.2.1", "127.0.0.1"]}'
 config 12 safe unsafe upload safe-late
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -179,6 +179,8 @@
 };
 
 enum req_state {
+	/* This VM has just started and has no configuration yet. */
+	REQ_UNROUTED,
 	/* The body is being received. */
 	REQ_BODY,
 	/* Waiting for a backend server with room. */
@@ -229,8 +231,10 @@
 	int64_t limit_ns;
 	int64_t objective_ns;
 	uint64_t length;
-	char id[EDGE_ID_BYTES];
+	struct strbuf id;
 	struct strbuf head;
+	/* Host and path of an unrouted request, parted by a blank. */
+	struct strbuf destination;
 	struct strbuf body;
 	uint64_t tried[EDGE_MAX_TRIED];
 	uint32_t tried_count;
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -25,6 +25,9 @@
 #define UNREACHABLE_NS (1500 * NS_PER_MS)
 /* Pause between two looks at the load for a request that waits. */
 #define QUEUE_LOOK_NS (30 * NS_PER_MS)
+/* Time after its start in which a VM lets requests wait for its first
+ * configuration: it mostly comes within half a second. */
+#define FIRST_CONF_NS NS_PER_S
 /* When to come back after a refusal. */
 #define RETRY_AFTER_NS (400 * NS_PER_MS)
 
@@ -42,7 +45,7 @@
 
 	logs_event(LOGS_INFO, event,
 		   (struct logs_field[]){
-			   LOGS_STR("request", str_from(r->id)),
+			   LOGS_STR("request", strbuf_view(&r->id)),
 			   LOGS_STR("why", str_from(why)),
 			   LOGS_INT("value", number),
 			   LOGS_STR("server", str_from(s ? s->id : "")),
@@ -69,8 +72,10 @@
 	/* Only what surely has not run is reported so. */
 	if (status == 503 && r->may_have_run)
 		status = 502;
-	bud_lost(e, edge_service(e, r->service));
-	ctr_add(status == 503 ? CTR_REFUSED : CTR_UNKNOWN, 1);
+	if (r->service)
+		bud_lost(e, edge_service(e, r->service));
+	ctr_add(CTR_REFUSED, status == 503);
+	ctr_add(CTR_UNKNOWN, status == 502 || status == 504);
 	ctr_observe(CTR_TIME_REQUEST, e->ev.now_ns - r->start_ns);
 	req_log(e, r, "refuse", why, status);
 	req_finish(e, r);
@@ -146,46 +151,118 @@
 	return HND_NONE;
 }
 
-struct hnd req_begin(struct edge *e, struct hnd caller, const struct hreq *head,
-		     int64_t start_ns)
+/* The state that serves requests is expected at any moment. */
+static bool is_starting(const struct edge *e)
+{
+	return !edge_has_state(e) && !e->store_lost_ns &&
+	       e->ev.now_ns - e->start_ns < FIRST_CONF_NS;
+}
+
+static struct hnd add_request(struct edge *e, struct hnd caller,
+			      const struct hreq *head, int64_t start_ns)
 {
-	const struct conf_route *route;
 	struct req_row *r;
 	struct hnd h;
 	void *row;
 
-	ctr_add(CTR_REQUESTS, 1);
-	if (!edge_takes_requests(e))
-		return refuse_head(e, caller, head, 503, "VM is stopping");
-	if (!edge_has_state(e))
-		return refuse_head(e, caller, head, 503,
-				   "no configuration yet");
-	route = conf_find(e->conf, head->host, head->path);
-	if (!route)
-		return refuse_head(e, caller, head, 404, "no route");
 	h = tab_add(&e->requests, &row);
 	r = row;
+	strbuf_init(&r->id);
 	strbuf_init(&r->head);
+	strbuf_init(&r->destination);
 	strbuf_init(&r->body);
 	strbuf_init(&r->spare);
 	strbuf_init(&r->spare_body);
 	r->caller = caller;
 	r->start_ns = start_ns;
 	r->deadline_ns = deadline_of(e, head, start_ns);
+	r->limit_ns = r->deadline_ns;
 	r->connects_left = MAX_CONNECTS;
 	r->head_method = str_eq(head->method, STR("HEAD"));
 	r->chunked = head->chunked;
 	r->has_length = head->has_length;
 	r->length = head->length;
-	str_copy(r->id, sizeof(r->id), hreq_get(head, e->dia->request_id));
-	set_route(e, r, route);
-	bud_request(e, edge_service(e, r->service));
-	if (r->kind == CONF_SAFE)
-		edge_service(e, r->service)->safe_ns = e->ev.now_ns;
+	strbuf_set(&r->id, hreq_get(head, e->dia->request_id));
 	copy_head(e, r, head);
 	return h;
 }
 
+static void count_request(struct edge *e, const struct req_row *r)
+{
+	struct svc_row *svc = edge_service(e, r->service);
+
+	bud_request(e, svc);
+	if (r->kind == CONF_SAFE)
+		svc->safe_ns = e->ev.now_ns;
+}
+
+struct hnd req_begin(struct edge *e, struct hnd caller, const struct hreq *head,
+		     int64_t start_ns)
+{
+	const struct conf_route *route;
+	struct req_row *r;
+	struct hnd h;
+
+	ctr_add(CTR_REQUESTS, 1);
+	if (!edge_takes_requests(e))
+		return refuse_head(e, caller, head, 503, "VM is stopping");
+	if (is_starting(e)) {
+		h = add_request(e, caller, head, start_ns);
+		r = req_get(e, h);
+		r->state = REQ_UNROUTED;
+		strbuf_addf(&r->destination, "%.*s %.*s", STR_FMT(head->host),
+			    STR_FMT(head->path));
+		return h;
+	}
+	if (!edge_has_state(e))
+		return refuse_head(e, caller, head, 503,
+				   "no configuration yet");
+	route = conf_find(e->conf, head->host, head->path);
+	if (!route)
+		return refuse_head(e, caller, head, 404, "no route");
+	h = add_request(e, caller, head, start_ns);
+	r = req_get(e, h);
+	r->state = REQ_BODY;
+	set_route(e, r, route);
+	count_request(e, r);
+	return h;
+}
+
+static bool is_body_ready(const struct req_row *r)
+{
+	return r->body_done || r->body.len > BODY_BUFFER_BYTES;
+}
+
+void req_try_route(struct edge *e, struct hnd h)
+{
+	struct req_row *r = req_get(e, h);
+	struct str path = strbuf_view(&r->destination);
+	struct str host = str_split(&path, ' ');
+	const struct conf_route *route;
+
+	if (is_starting(e))
+		return;
+	if (!edge_has_state(e)) {
+		req_refuse(e, r, 503, "no configuration yet");
+		return;
+	}
+	route = conf_find(e->conf, host, path);
+	if (!route) {
+		req_refuse(e, r, 404, "no route");
+		return;
+	}
+	r->state = REQ_BODY;
+	set_route(e, r, route);
+	count_request(e, r);
+	if (is_body_ready(r))
+		req_try_send(e, h);
+}
+
+int64_t req_route_due(const struct edge *e)
+{
+	return e->start_ns + FIRST_CONF_NS;
+}
+
 static void add_framing(const struct req_row *r, struct strbuf *out)
 {
 	if (!r->body_done && r->chunked)
@@ -353,8 +430,7 @@
 	r->body_done |= done;
 	if (!r->streaming) {
 		strbuf_add(&r->body, data);
-		if (r->state == REQ_BODY &&
-		    (done || r->body.len > BODY_BUFFER_BYTES))
+		if (r->state == REQ_BODY && is_body_ready(r))
 			req_try_send(e, h);
 		return r->state == REQ_DONE || r->body.len <= BODY_BUFFER_BYTES;
 	}
--- a/src/edge/reqa.c
+++ b/src/edge/reqa.c
@@ -44,7 +44,7 @@
 	struct str id = rsp_get(rsp, e->dia->request_id);
 
 	/* Answers that were made before the request was read carry no id. */
-	return !r || !id.len || str_eq(id, str_from(r->id));
+	return !r || !id.len || str_eq(id, strbuf_view(&r->id));
 }
 
 static void learn(struct edge *e, const struct req_row *r)
@@ -81,7 +81,7 @@
 		return "answer without proof of its server";
 	if (rsp_get(rsp, STR("content-encoding")).len)
 		return "answer in an unexpected encoding";
-	if (!rsp_get(rsp, e->dia->request_id).len && r->id[0])
+	if (!rsp_get(rsp, e->dia->request_id).len && r->id.len)
 		return "answer without a request id";
 	return NULL;
 }
--- a/src/edge/reqt.c
+++ b/src/edge/reqt.c
@@ -60,7 +60,9 @@
 	if (!r || r->state == REQ_RELAY)
 		return;
 	prove(e, r);
-	if (now_ns >= r->limit_ns)
+	if (r->state == REQ_UNROUTED)
+		req_try_route(e, h);
+	else if (now_ns >= r->limit_ns)
 		on_limit(e, r);
 	else if (r->state == REQ_CONNECTING &&
 		 now_ns - r->connect_ns >= CONNECT_TIMEOUT_NS)
@@ -91,6 +93,8 @@
 
 		if (r->state == REQ_DONE || r->state == REQ_RELAY)
 			continue;
+		if (r->state == REQ_UNROUTED && req_route_due(e) < at)
+			at = req_route_due(e);
 		if (r->state == REQ_CONNECTING &&
 		    r->connect_ns + CONNECT_TIMEOUT_NS < at)
 			at = r->connect_ns + CONNECT_TIMEOUT_NS;
@@ -114,7 +118,9 @@
 
 		if (r->state != REQ_DONE)
 			continue;
+		strbuf_free(&r->id);
 		strbuf_free(&r->head);
+		strbuf_free(&r->destination);
 		strbuf_free(&r->body);
 		strbuf_free(&r->spare);
 		strbuf_free(&r->spare_body);
