Keep unsafe work away from trials where other work may be repeated

Change: such trials are made only in services without repeatable work. Where many requests are lost, a trial that is overdue is made by repeatable work even if the budget may not cover its failure, so that capacity returns. Test: test_trial_pause, unsafe beside repeatable work (due before).

--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -219,17 +219,23 @@
 
 	if (now < s->next_trial_ns)
 		return false;
-	if (s->suspect && !s->trial_successes)
-		return kind != CONF_UPLOAD &&
+	/* Work that may not be repeated tries only where there is no other. */
+	if (s->suspect && kind != CONF_SAFE)
+		return kind == CONF_UNSAFE && !is_explored(e, s) &&
 		       now - s->last_trial_ns > trial_pause(s, kind, calm);
-	if (!s->suspect && s->proof_ns)
+	if (s->suspect)
+		return s->trial_successes ||
+		       now - s->last_trial_ns > trial_pause(s, kind, calm);
+	if (s->proof_ns)
 		return now - s->proof_ns > COVER_NS && !is_explored(e, s);
 	if (kind == CONF_SAFE)
 		return true;
 	/* A server that joined gets work also where none may be repeated. */
-	if (!s->suspect)
-		return kind == CONF_UNSAFE &&
-		       s->joined_ns - e->start_ns > SETTLED_NS &&
-		       now - s->joined_ns > UNSAFE_TRIAL_NS;
-	return kind == CONF_UNSAFE && now - s->last_trial_ns > UNSAFE_TRIAL_NS;
+	return kind == CONF_UNSAFE && s->joined_ns - e->start_ns > SETTLED_NS &&
+	       now - s->joined_ns > UNSAFE_TRIAL_NS;
+}
+
+bool hlth_trial_overdue(const struct edge *e, const struct srv_row *s)
+{
+	return s->suspect && e->ev.now_ns - s->last_trial_ns > UNSAFE_TRIAL_NS;
 }
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -169,6 +169,8 @@
 	/* A failed trial costs a repeat, which requests that met a failure by
 	 * chance need more. */
 	if (best >= 0 && v->req->kind == CONF_SAFE &&
+	    (calm || !hlth_trial_overdue(
+			     v->e, tab_at(&v->e->servers, (uint32_t)best))) &&
 	    !bud_allows_trial(v->e, edge_service(v->e, v->req->service)))
 		return -1;
 	return best;
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -127,6 +127,8 @@
 		/* Since the last failure. */
 		int pause_ms;
 		bool due;
+		/* The service has work that may be repeated. */
+		bool explored;
 	} cases[] = {
 		{"first trial", CONF_SAFE, 0, 0, 1150, true},
 		{"second trial, early", CONF_SAFE, 0, 1, 1150, false},
@@ -138,6 +140,9 @@
 		{"unsafe, later", CONF_UNSAFE, 0, 4, 6000, false},
 		{"unsafe, many lost", CONF_UNSAFE, 20, 4, 1750, true},
 		{"upload", CONF_UPLOAD, 20, 0, 9000, false},
+		/* Lost 266 requests on tran-pumpcheck-grown, trouble-1. */
+		{"unsafe beside repeatable work", CONF_UNSAFE, 20, 0, 9000,
+		 false, true},
 	};
 	size_t i;
 
@@ -160,6 +165,7 @@
 		}
 		fix_step(&e, cases[i].pause_ms * NS_PER_MS);
 		svc = edge_service(&e, r.service);
+		svc->safe_ns = cases[i].explored ? e.ev.now_ns : 0;
 		for (k = 0; k < 100; k++)
 			bud_request(&e, svc);
 		for (k = 0; k < cases[i].lost; k++)
