Ask backend servers after a pause of the allocator before they get work

Cause: a server that says only by its header that it leaves is seen by VMs that use it and by the allocator's probes. An allocator that was frozen for 6 s gave its queued requests to such a server as soon as it woke, 6,019 to 6,030 ms after the mark; the bound is 5 s. Ruled out: leases, which a pause ends already.

Change: after a pause, servers of the shards that this VM allocates have no usable slot until a probe was answered or has timed out. The test for a pause stands in one place, core_was_paused().

--- a/src/alc.c
+++ b/src/alc.c
@@ -437,8 +437,7 @@
 
 void alc_tick_lease(struct core *c)
 {
-	bool paused = c->last_tick_ns &&
-		      c->now - c->last_tick_ns > ALC_PAUSE_NS;
+	bool paused = core_was_paused(c);
 	uint32_t i;
 
 	if (c->opts.standalone) {
--- a/src/core.c
+++ b/src/core.c
@@ -318,6 +318,11 @@
 	}
 }
 
+bool core_was_paused(const struct core *c)
+{
+	return c->last_tick_ns && c->now - c->last_tick_ns > ALC_PAUSE_NS;
+}
+
 /* Systems in the order of docs/design.md, section 6. */
 static void run_systems(struct core *c)
 {
@@ -326,6 +331,7 @@
 	mbr_tick(c);
 	alc_tick_lease(c);
 	hold_tick_expiry(c);
+	drn_tick_pause(c);
 	drn_tick(c);
 	det_tick_local(c);
 	det_tick(c);
--- a/src/core.h
+++ b/src/core.h
@@ -195,6 +195,9 @@
 	/* drn: bits of enum drn_source; probes that saw no drain mark. */
 	uint8_t drain_sources;
 	uint8_t drain_clear;
+	/* drn: after a pause of this VM, no slot is usable until a probe was
+	 * answered, at most until then. */
+	int64_t recheck_until_ns;
 	/* drn: bundle version that made the server usable. */
 	int64_t usable_version;
 	/* alc: slots granted to all holders, this VM included. */
@@ -671,6 +674,8 @@
 void core_on_refuse(struct core *c, int64_t now_ns);
 /* Runs what is due without an event. */
 void core_tick(struct core *c, int64_t now_ns);
+/* The time since the last tick is longer than this VM ever sleeps. */
+bool core_was_paused(const struct core *c);
 int64_t core_next_due(const struct core *c);
 
 /* Helpers for the decision modules. */
--- a/src/det.c
+++ b/src/det.c
@@ -333,9 +333,18 @@
 	}
 }
 
-static void ask_probe(struct core *c, struct backend_row *be)
+void det_probe(struct core *c, struct backend_row *be)
 {
 	const struct svc_row *svc = tab_get(&c->services, be->svc);
+
+	ctr_add(CTR_PROBES, 1);
+	c->opts.ops->probe(c->opts.ops_ctx,
+			   idx_get(&c->backend_by_key, be->key), be->conf->host,
+			   (uint16_t)be->conf->port, svc->conf->probe_path);
+}
+
+static void ask_probe(struct core *c, struct backend_row *be)
+{
 	bool marked = be->drain_sources == 1U << DRN_SERVER;
 	int64_t span = DET_IDLE_PROBE_NS;
 
@@ -349,10 +358,7 @@
 	if (span < DET_PROBE_SLOT_NS / be->conf->slots)
 		span = DET_PROBE_SLOT_NS / be->conf->slots;
 	be->probe_due_ns = c->now + span;
-	ctr_add(CTR_PROBES, 1);
-	c->opts.ops->probe(c->opts.ops_ctx,
-			   idx_get(&c->backend_by_key, be->key), be->conf->host,
-			   (uint16_t)be->conf->port, svc->conf->probe_path);
+	det_probe(c, be);
 }
 
 static void after_score(struct core *c, struct shard_row *shard,
--- a/src/det.h
+++ b/src/det.h
@@ -97,6 +97,8 @@
  */
 bool det_ask_observers(struct core *c, struct backend_row *be,
 		       int64_t after_ns);
+/* Probes a backend server at once. */
+void det_probe(struct core *c, struct backend_row *be);
 void det_on_probe(struct core *c, struct backend_row *be, bool ok,
 		  int64_t latency_ns);
 int64_t det_next_due(const struct core *c);
--- a/src/drn.c
+++ b/src/drn.c
@@ -5,6 +5,9 @@
 
 /* One probe may be answered from a stale health state. */
 #define DRN_CLEAR_PROBES 3
+/* Longest wait for the probe of a server after a pause of this VM: the probe's
+ * own time-out. */
+#define DRN_RECHECK_NS NS_PER_S
 
 static const char *const source_names[] = {"bundle", "operator", "server",
 					   "list"};
@@ -75,9 +78,42 @@
 	log_drain(c, be, "undrain", "mark cleared");
 }
 
+static void end_recheck(struct core *c, struct backend_row *be)
+{
+	struct shard_row *shard = tab_get(&c->shards, be->shard);
+
+	if (!be->recheck_until_ns)
+		return;
+	be->recheck_until_ns = 0;
+	if (shard)
+		alc_changed(c, shard);
+}
+
+/*
+ * While this VM stood still, servers may have begun to drain that no other VM
+ * uses: each is asked before it gets work again.
+ */
+void drn_tick_pause(struct core *c)
+{
+	uint32_t i;
+
+	if (!core_was_paused(c))
+		return;
+	for (i = 0; i < c->backends.len; i++) {
+		struct backend_row *be = tab_at(&c->backends, i);
+		const struct shard_row *shard = tab_get(&c->shards, be->shard);
+
+		if (!shard || !shard->mine)
+			continue;
+		be->recheck_until_ns = c->now + DRN_RECHECK_NS;
+		det_probe(c, be);
+	}
+}
+
 void drn_on_probe(struct core *c, struct backend_row *be, bool ok,
 		  bool draining)
 {
+	end_recheck(c, be);
 	if (draining) {
 		drn_mark(c, be, DRN_SERVER);
 		return;
--- a/src/drn.h
+++ b/src/drn.h
@@ -19,6 +19,8 @@
 /* A probe clears a mark by the server's own header after three in a row. */
 void drn_on_probe(struct core *c, struct backend_row *be, bool ok,
 		  bool draining);
+/* After a pause of this VM, asks the servers that it allocates. */
+void drn_tick_pause(struct core *c);
 void drn_tick(struct core *c);
 /* Slots that the warm-up allows now: 1 at its start, all at its end. */
 uint32_t drn_warm_slots(const struct core *c, const struct backend_row *be);
--- a/src/ejct.c
+++ b/src/ejct.c
@@ -67,7 +67,7 @@
 {
 	uint32_t warm, ramp;
 
-	if (be->draining || be->ejected)
+	if (be->draining || be->ejected || be->recheck_until_ns > c->now)
 		return 0;
 	if (be->trial)
 		return 1;
--- a/src/hold.c
+++ b/src/hold.c
@@ -173,7 +173,7 @@
 
 void hold_tick_expiry(struct core *c)
 {
-	bool paused = c->now - c->last_tick_ns > ALC_PAUSE_NS;
+	bool paused = core_was_paused(c);
 	uint32_t i;
 
 	if (c->opts.standalone)
--- a/tests/test_ejct.c
+++ b/tests/test_ejct.c
@@ -389,6 +389,50 @@
 	}
 }
 
+/* Guards against new work for a server that began to drain while this VM stood
+ * still (it_proof_drain_frozen.sh, seed 2), and against servers that stay
+ * unused because a probe is lost. */
+static void test_pause(void **state)
+{
+	static const struct {
+		const char *name;
+		int pause_ms;
+		enum { NO_ANSWER, WELL, DRAINING } probe;
+		/* Since the wake. */
+		int after_ms;
+		uint32_t probes;
+		bool usable;
+	} cases[] = {
+		{"no pause", 900, NO_ANSWER, 0, 0, true},
+		{"before the answer", 6000, NO_ANSWER, 10, SERVERS, false},
+		{"well", 6000, WELL, 10, SERVERS, true},
+		{"draining", 6000, DRAINING, 10, SERVERS, false},
+		{"probe lost", 6000, NO_ANSWER, 1001, SERVERS, true},
+	};
+	size_t k;
+
+	for (k = 0; k < COUNT(cases); k++) {
+		struct shard_test t;
+		struct backend_row *be;
+
+		start(&t, 12);
+		be = server(&t, 0);
+		t.c.last_tick_ns = START;
+		t.c.now = START + cases[k].pause_ms * NS_PER_MS;
+		drn_tick_pause(&t.c);
+		if (probes != cases[k].probes)
+			fail_msg("%s: %u probes", cases[k].name, probes);
+		if (cases[k].probe != NO_ANSWER)
+			drn_on_probe(&t.c, be, true,
+				     cases[k].probe == DRAINING);
+		t.c.now += cases[k].after_ms * NS_PER_MS;
+		if (!ejct_usable_slots(&t.c, be) == cases[k].usable)
+			fail_msg("%s: usable %d", cases[k].name,
+				 !cases[k].usable);
+		core_free(&t.c);
+	}
+}
+
 /* Guards against a drain in the bundle that is missed or not taken back. */
 static void test_bundle_drain(void **state)
 {
@@ -477,6 +521,7 @@
 		cmocka_unit_test(test_acknowledgement),
 		cmocka_unit_test(test_ramps),
 		cmocka_unit_test(test_drain),
+		cmocka_unit_test(test_pause),
 		cmocka_unit_test(test_bundle_drain),
 		cmocka_unit_test(test_relief),
 		cmocka_unit_test(test_probe_rate),
