List servers by service, and look up services and far loads by key

Cause: a choice of a server walked over all servers, and each tick over all of them again; docs/CAPACITY.md named the choice as what breaks first.

Change: each service has a list of its servers; services and loads of other regions are found by an index; a tick looks at servers only while one of them is missing or gone. Test: test_servers_of_service.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -91,16 +91,13 @@
 
 struct svc_row *edge_service(struct edge *e, uint64_t key)
 {
-	struct svc_row *s;
-	uint32_t i;
+	struct svc_row *s =
+		tab_get(&e->services, idx_get(&e->service_by_key, key));
 	void *row;
 
-	for (i = 0; i < e->services.len; i++) {
-		s = tab_at(&e->services, i);
-		if (s->key == key)
-			return s;
-	}
-	tab_add(&e->services, &row);
+	if (s)
+		return s;
+	idx_put(&e->service_by_key, key, tab_add(&e->services, &row));
 	s = row;
 	s->key = key;
 	return s;
@@ -198,6 +195,8 @@
 	tab_init(&e->members, sizeof(struct mem_row));
 	tab_init(&e->calls, sizeof(struct call_row));
 	tab_init(&e->far, sizeof(struct far_row));
+	idx_init(&e->service_by_key);
+	idx_init(&e->far_by_key);
 	idx_init(&e->server_by_key);
 	idx_init(&e->server_by_tag);
 	idx_init(&e->member_by_key);
@@ -213,6 +212,8 @@
 	tab_free(&e->members);
 	tab_free(&e->calls);
 	tab_free(&e->far);
+	idx_free(&e->service_by_key);
+	idx_free(&e->far_by_key);
 	idx_free(&e->server_by_key);
 	idx_free(&e->server_by_tag);
 	idx_free(&e->member_by_key);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -45,6 +45,8 @@
 struct svc_row {
 	uint64_t key;
 	struct str name;
+	/* Servers of the service, by srv_row.next; see srv_first(). */
+	struct hnd first_server;
 	/* Of this VM, newest first. */
 	uint32_t requests[BUD_SLOTS];
 	uint32_t repeats[BUD_SLOTS];
@@ -140,6 +142,9 @@
 	char id[EDGE_ID_BYTES];
 	uint64_t key;
 	uint64_t service;
+	/* Neighbours in the list of the service. */
+	struct hnd next;
+	struct hnd before;
 	uint64_t zone;
 	uint64_t region;
 	struct sockaddr_in addr;
@@ -311,7 +316,10 @@
 	/* NULL until a version is known. */
 	struct conf *conf;
 	struct tab services;
+	struct idx service_by_key;
 	struct tab servers;
+	/* Some server is missing or gone, and srv_tick() has work. */
+	bool servers_ending;
 	struct idx server_by_key;
 	/* Short names for messages; a clash only blurs a hint. */
 	struct idx server_by_tag;
@@ -321,6 +329,8 @@
 	struct tab members;
 	struct tab calls;
 	struct tab far;
+	/* By region and service. */
+	struct idx far_by_key;
 	struct idx member_by_key;
 	int news_fd;
 	uint64_t zone;
--- a/src/edge/load.c
+++ b/src/edge/load.c
@@ -195,21 +195,33 @@
 	news_summary(e, &s);
 }
 
+static uint64_t far_key(uint64_t region, uint64_t service)
+{
+	uint64_t key = region * UINT64_C(0x9e3779b97f4a7c15) ^ service;
+
+	return key ? key : 1;
+}
+
+static struct far_row *find_far(const struct edge *e, uint64_t region,
+				uint64_t service)
+{
+	return tab_get(&e->far,
+		       idx_get(&e->far_by_key, far_key(region, service)));
+}
+
 static struct far_row *far_of(struct edge *e, uint64_t region, uint64_t service)
 {
-	uint32_t i;
+	struct far_row *f = find_far(e, region, service);
 	void *row;
 
-	for (i = 0; i < e->far.len; i++) {
-		struct far_row *f = tab_at(&e->far, i);
-
-		if (f->region == region && f->service == service)
-			return f;
-	}
-	tab_add(&e->far, &row);
-	((struct far_row *)row)->region = region;
-	((struct far_row *)row)->service = service;
-	return row;
+	if (f)
+		return f;
+	idx_put(&e->far_by_key, far_key(region, service),
+		tab_add(&e->far, &row));
+	f = row;
+	f->region = region;
+	f->service = service;
+	return f;
 }
 
 static bool is_ejected(const struct load_summary *s, uint32_t tag)
@@ -245,19 +257,16 @@
 
 uint32_t load_of(const struct edge *e, const struct srv_row *s)
 {
-	uint32_t i, slots = s->slots ? s->slots : 1;
+	uint32_t slots = s->slots ? s->slots : 1;
+	uint32_t own = s->in_flight * 1000 / slots;
+	const struct far_row *f;
 
 	if (s->region == e->region)
 		return (s->in_flight + s->remote_in_flight) * 1000 / slots;
-	for (i = 0; i < e->far.len; i++) {
-		const struct far_row *f = tab_at(&e->far, i);
-
-		if (f->region == s->region && f->service == s->service &&
-		    e->ev.now_ns - f->heard_ns < SUMMARY_NS && f->slots)
-			return f->in_flight * 1000 / f->slots +
-			       s->in_flight * 1000 / slots;
-	}
-	return UNKNOWN_LOAD + s->in_flight * 1000 / slots;
+	f = find_far(e, s->region, s->service);
+	if (f && f->slots && e->ev.now_ns - f->heard_ns < SUMMARY_NS)
+		return f->in_flight * 1000 / f->slots + own;
+	return UNKNOWN_LOAD + own;
 }
 
 void load_start(struct edge *e)
--- a/src/edge/pick.c
+++ b/src/edge/pick.c
@@ -3,6 +3,7 @@
 #include "bud.h"
 #include "hlth.h"
 #include "load.h"
+#include "srv.h"
 
 /*
  * Costs in thousandths of the worth of a request. Bytes and connections have
@@ -96,14 +97,14 @@
 	return c + (int64_t)(edge_random(v->e) % JITTER);
 }
 
-static bool is_below_floor(const struct edge *e, uint64_t service)
+static bool is_below_floor(struct edge *e, uint64_t service)
 {
-	uint32_t i, listed = 0, in_use = 0;
+	uint32_t listed = 0, in_use = 0;
+	const struct srv_row *s;
+	struct hnd h;
 
-	for (i = 0; i < e->servers.len; i++) {
-		const struct srv_row *s = tab_at(&e->servers, i);
-
-		if (s->service != service || s->state != SRV_READY)
+	for (s = srv_first(e, service, &h); s; s = srv_next(e, s, &h)) {
+		if (s->state != SRV_READY)
 			continue;
 		listed += s->slots;
 		in_use += hlth_is_out(e, s) ? 0 : s->slots;
@@ -111,68 +112,70 @@
 	return (int64_t)in_use * 1000 < e->set.floor_permille * listed;
 }
 
-/* Returns the row of the best server, or -1. */
-static int64_t find_best(const struct view *v, struct pick *out)
+static void note_full(struct pick *out, const struct srv_row *s)
 {
-	int64_t best = -1, best_cost = 0;
-	uint32_t i;
+	out->result = PICK_FULL;
+	if (!out->retry_ns || s->full_until_ns < out->retry_ns)
+		out->retry_ns = s->full_until_ns;
+}
 
-	for (i = 0; i < v->e->servers.len; i++) {
-		struct srv_row *s = tab_at(&v->e->servers, i);
+/* Returns the best server, or HND_NONE. */
+static struct hnd find_best(const struct view *v, struct pick *out)
+{
+	struct hnd best = HND_NONE, h;
+	int64_t best_cost = INT64_MAX;
+	const struct srv_row *s;
+
+	for (s = srv_first(v->e, v->req->service, &h); s;
+	     s = srv_next(v->e, s, &h)) {
 		int64_t c;
 
-		if (s->service != v->req->service || s->state != SRV_READY ||
-		    was_tried(v->req, s->key))
+		if (s->state != SRV_READY || was_tried(v->req, s->key))
 			continue;
 		if (hlth_is_out(v->e, s) && !v->below_floor)
 			continue;
 		if (s->full_until_ns > v->e->ev.now_ns) {
-			out->result = PICK_FULL;
-			if (!out->retry_ns || s->full_until_ns < out->retry_ns)
-				out->retry_ns = s->full_until_ns;
+			note_full(out, s);
 			continue;
 		}
 		c = cost(v, s);
-		if (best < 0 || c < best_cost) {
-			best = i;
+		if (c < best_cost) {
+			best = h;
 			best_cost = c;
 		}
 	}
 	return best;
 }
 
-/* An ejected server, near ones first, whose trial is due. */
-static int64_t find_trial(const struct view *v)
+/* The server whose trial has been due for longest, or HND_NONE. */
+static struct hnd find_trial(const struct view *v)
 {
-	int64_t best = -1, best_cost = 0;
+	struct svc_row *svc = edge_service(v->e, v->req->service);
+	struct srv_row *s, *tried = NULL;
+	struct hnd best = HND_NONE, h;
 	bool calm;
-	uint32_t i;
 
 	if (v->req->sends || v->req->attempts < 2)
-		return -1;
-	calm = bud_is_calm(v->e, edge_service(v->e, v->req->service));
-	for (i = 0; i < v->e->servers.len; i++) {
-		const struct srv_row *s = tab_at(&v->e->servers, i);
-		int64_t c;
-
-		if (s->service != v->req->service || s->state != SRV_READY ||
-		    s->region != v->e->region || was_tried(v->req, s->key) ||
+		return HND_NONE;
+	calm = bud_is_calm(v->e, svc);
+	for (s = srv_first(v->e, v->req->service, &h); s;
+	     s = srv_next(v->e, s, &h)) {
+		if (s->state != SRV_READY || s->region != v->e->region ||
+		    was_tried(v->req, s->key) ||
 		    !hlth_trial_due(v->e, s, v->req->kind, calm) ||
 		    (!s->suspect && load_of(v->e, s) >= 1000))
 			continue;
-		c = s->next_trial_ns;
-		if (best < 0 || c < best_cost) {
-			best = i;
-			best_cost = c;
-		}
+		if (tried && s->next_trial_ns >= tried->next_trial_ns)
+			continue;
+		best = h;
+		tried = s;
 	}
 	/* A failed trial costs a repeat, which requests that met a failure by
 	 * chance need more. */
-	if (best >= 0 && v->req->kind == CONF_SAFE &&
-	    (calm || !hlth_trial_overdue(
-			     v->e, tab_at(&v->e->servers, (uint32_t)best))) &&
-	    !bud_allows_trial(v->e, edge_service(v->e, v->req->service)))
-		return -1;
+	if (tried && v->req->kind == CONF_SAFE &&
+	    (calm || !hlth_trial_overdue(v->e, tried)) &&
+	    !bud_allows_trial(v->e, svc))
+		return HND_NONE;
 	return best;
 }
 
@@ -181,22 +184,17 @@
 {
 	struct view v = {.e = e, .req = req, .max_load = max_load};
 	struct pick out = {.result = PICK_NONE};
-	int64_t row;
-
-	row = find_trial(&v);
-	if (row >= 0) {
-		out.result = PICK_FOUND;
-		out.server = tab_handle(&e->servers, (uint32_t)row);
-		out.trial = true;
-		return out;
+
+	out.server = find_trial(&v);
+	out.trial = !hnd_eq(out.server, HND_NONE);
+	if (!out.trial) {
+		/* The floor holds also where every server is suspected. */
+		v.below_floor = is_below_floor(e, req->service);
+		out.server = find_best(&v, &out);
+		if (hnd_eq(out.server, HND_NONE))
+			return out;
+		out.load = load_of(e, tab_get(&e->servers, out.server));
 	}
-	/* The floor holds also where every server is suspected. */
-	v.below_floor = is_below_floor(e, req->service);
-	row = find_best(&v, &out);
-	if (row < 0)
-		return out;
 	out.result = PICK_FOUND;
-	out.server = tab_handle(&e->servers, (uint32_t)row);
-	out.load = load_of(e, tab_at(&e->servers, (uint32_t)row));
 	return out;
 }
--- a/src/edge/reqa.c
+++ b/src/edge/reqa.c
@@ -6,6 +6,7 @@
 #include "hlth.h"
 #include "logs.h"
 #include "reqi.h"
+#include "srv.h"
 
 /* A server that refused work gets none for this long. */
 #define FULL_NS (150 * NS_PER_MS)
@@ -101,7 +102,7 @@
 	if (s)
 		s->full_until_ns = e->ev.now_ns + FULL_NS;
 	if (s && status == 421)
-		s->state = SRV_GONE;
+		srv_replaced(e, s);
 	if (!repeat(e, h, status == 421 ? "replaced" : "full"))
 		req_refuse(e, req_get(e, h), 503, "backend server has no room");
 }
--- a/src/edge/srv.c
+++ b/src/edge/srv.c
@@ -58,6 +58,48 @@
 	return s;
 }
 
+static void list_in_service(struct edge *e, struct srv_row *s, uint64_t service)
+{
+	struct hnd h = idx_get(&e->server_by_key, s->key);
+	struct svc_row *svc = edge_service(e, service);
+	struct srv_row *first = tab_get(&e->servers, svc->first_server);
+
+	s->service = service;
+	s->before = HND_NONE;
+	s->next = svc->first_server;
+	if (first)
+		first->before = h;
+	svc->first_server = h;
+}
+
+static void unlist(struct edge *e, struct srv_row *s)
+{
+	struct srv_row *next = tab_get(&e->servers, s->next);
+	struct srv_row *before = tab_get(&e->servers, s->before);
+
+	if (!s->service)
+		return;
+	if (next)
+		next->before = s->before;
+	if (before)
+		before->next = s->next;
+	else
+		edge_service(e, s->service)->first_server = s->next;
+}
+
+struct srv_row *srv_first(struct edge *e, uint64_t service, struct hnd *handle)
+{
+	*handle = edge_service(e, service)->first_server;
+	return tab_get(&e->servers, *handle);
+}
+
+struct srv_row *srv_next(const struct edge *e, const struct srv_row *s,
+			 struct hnd *handle)
+{
+	*handle = s->next;
+	return tab_get(&e->servers, *handle);
+}
+
 /* A new start under the same id knows nothing of before. */
 static void reset_health(struct srv_row *s)
 {
@@ -90,7 +132,10 @@
 		log_server(s, added ? "listed"
 				    : (r->draining ? "draining" : "ready"));
 	}
-	s->service = r->service;
+	if (s->service != r->service) {
+		unlist(e, s);
+		list_in_service(e, s, r->service);
+	}
 	s->zone = r->zone;
 	s->region = eset_region_key(&e->set, r->zone);
 	s->addr = r->addr;
@@ -101,7 +146,6 @@
 	s->version = r->version;
 	s->warm_until_ns = e->ev.now_ns + r->warm_left_ns;
 	s->missing_until_ns = 0;
-	edge_service(e, s->service);
 }
 
 static void set_missing(struct edge *e, struct srv_row *s)
@@ -111,6 +155,7 @@
 	if (s->state == SRV_GONE || s->missing_until_ns)
 		return;
 	s->missing_until_ns = e->ev.now_ns < back ? back : e->ev.now_ns;
+	e->servers_ending = true;
 	log_server(s, "missing");
 }
 
@@ -124,6 +169,12 @@
 	set_missing(e, s);
 }
 
+void srv_replaced(struct edge *e, struct srv_row *s)
+{
+	s->state = SRV_GONE;
+	e->servers_ending = true;
+}
+
 void srv_end_full_read(struct edge *e, uint64_t version)
 {
 	uint32_t i;
@@ -140,6 +191,9 @@
 {
 	uint32_t i = e->servers.len;
 
+	if (!e->servers_ending)
+		return;
+	e->servers_ending = false;
 	while (i-- > 0) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
@@ -148,8 +202,11 @@
 			s->missing_until_ns = 0;
 			log_server(s, "gone");
 		}
+		e->servers_ending |= s->missing_until_ns ||
+				     s->state == SRV_GONE;
 		if (s->state != SRV_GONE || s->in_flight || s->idle_links)
 			continue;
+		unlist(e, s);
 		idx_del(&e->server_by_key, s->key);
 		idx_del(&e->server_by_tag, srv_tag(s->key));
 		tab_del(&e->servers, tab_handle(&e->servers, i));
@@ -161,7 +218,7 @@
 	int64_t due = TMR_NEVER;
 	uint32_t i;
 
-	for (i = 0; i < e->servers.len; i++) {
+	for (i = 0; e->servers_ending && i < e->servers.len; i++) {
 		const struct srv_row *s = tab_at(&e->servers, i);
 
 		if (s->missing_until_ns && s->missing_until_ns < due)
--- a/tests/bench_pick.c
+++ b/tests/bench_pick.c
@@ -13,7 +13,8 @@
 #define CHOICES 2000
 #define CHOICES_LARGE 20
 
-static void measure(int servers)
+/* Servers are spread over services; requests go to one of them. */
+static void measure(int servers, int services)
 {
 	static const char *const zones[] = {"z0", "z1", "z2"};
 	static struct edge e;
@@ -24,24 +25,30 @@
 	fix_init(&e);
 	for (i = 0; i < servers; i++) {
 		char id[32];
+		struct srv_report report;
 
 		snprintf(id, sizeof(id), "i-%d", i);
-		fix_server(&e, id, zones[i % 3]);
+		report = fix_report(id, zones[i % 3], 1);
+		report.service += (uint64_t)(i % services);
+		srv_report(&e, &report);
 	}
 	begin = tmr_now();
 	for (i = 0; i < choices; i++)
 		pick_server(&e, &r, UINT32_MAX);
-	printf("%d servers: %.2f us a choice\n", servers,
+	printf("%d servers, %d services: %.2f us a choice\n", servers, services,
 	       (double)(tmr_now() - begin) / choices / 1000);
 	fix_free(&e);
 }
 
 int main(void)
 {
-	static const int sizes[] = {36, 280, 448, 3000, 18000, 180000};
+	static const int sizes[][2] = {
+		{36, 1},     {448, 1},	    {3000, 1},	     {180000, 1},
+		{3000, 183}, {18000, 1100}, {180000, 11000},
+	};
 	size_t i;
 
 	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
-		measure(sizes[i]);
+		measure(sizes[i][0], sizes[i][1]);
 	return 0;
 }
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -63,6 +63,60 @@
 	}
 }
 
+/* Guards against a server that is chosen for a service which it has left, or
+ * is found twice or not at all. */
+static void test_servers_of_service(void **state)
+{
+	/* Each step is a server and what happens: a or b (it serves that
+	 * service), - (it is removed). */
+	static const struct {
+		const char *steps;
+		const char *of_a;
+		const char *of_b;
+	} cases[] = {
+		{"", "", ""},		{"1a2a3a", "321", ""},
+		{"1a2a3a2-", "31", ""}, {"1a2a3a3-1-", "2", ""},
+		{"1a2b1b", "", "12"},	{"1a2a2b2a", "21", ""},
+		{"1a1-1b", "", "1"},	{"1a1a1a", "1", ""},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		char found[2][8] = {"", ""};
+		uint64_t version = 0;
+		const char *p;
+		int k;
+
+		fix_init(&e);
+		for (p = cases[i].steps; *p; p += 2) {
+			char id[2] = {*p, '\0'};
+			struct srv_report r = fix_report(id, "z0", ++version);
+
+			r.service = (uint64_t)p[1];
+			if (p[1] == '-')
+				srv_missing(&e, r.id, version);
+			else
+				srv_report(&e, &r);
+			srv_tick(&e, e.ev.now_ns);
+		}
+		for (k = 0; k < 2; k++) {
+			const struct srv_row *s;
+			struct hnd h;
+			size_t n = 0;
+
+			for (s = srv_first(&e, (uint64_t)('a' + k), &h); s;
+			     s = srv_next(&e, s, &h))
+				found[k][n++] = s->id[0];
+		}
+		if (strcmp(found[0], cases[i].of_a) != 0 ||
+		    strcmp(found[1], cases[i].of_b) != 0)
+			fail_msg("%s: %s and %s", cases[i].steps, found[0],
+				 found[1]);
+		fix_free(&e);
+	}
+}
+
 /* Guards against servers that are dropped because their rows lapsed while the
  * store was away, and against a drain that is late for an outage that was
  * none: a VM that reads for the first time, or that fails once. */
@@ -473,6 +527,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_server_rows),
+		cmocka_unit_test(test_servers_of_service),
 		cmocka_unit_test(test_missing_after_outage),
 		cmocka_unit_test(test_addresses),
 		cmocka_unit_test(test_who_reads),
