Handle signals from the first step of an edge process on

Change: handlers are installed before the settings are read, and what they caught meanwhile is handled by the first round of the event loop. Test: it_edge.sh, a process that a change of its settings ends while it starts (not ready before).

--- a/scripts/it_edge.sh
+++ b/scripts/it_edge.sh
@@ -129,6 +129,17 @@
 check "first request after a loss of all VMs" "$status" 200
 wait_ready 1 2 3
 
+echo "# a process that a change of its settings ends while it starts"
+kill -KILL "${pid_of[e1]}"
+mv "$dir/e1.json" "$dir/e1.settings"
+mkfifo "$dir/e1.json"
+start e1 "$build/currantpaddle" edge --settings "$dir/e1.json"
+sleep 0.3
+kill -HUP "${pid_of[e1]}"
+timeout 5 bash -c "cat $dir/e1.settings >$dir/e1.json"
+wait_ready 1
+rm "$dir/e1.json"
+
 echo "# a store that refuses some VMs, loses answers or its history"
 control '{"mode": "busy", "clients": ["127.21.2.1", "127.0.0.1"]}'
 config 12 safe unsafe upload safe-late
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -255,11 +255,16 @@
 	eset_free(&e->set);
 }
 
-static enum err start(struct edge *e)
+enum err edge_catch_signals(void)
 {
 	if (ev_catch(SIGTERM) || ev_catch(SIGINT) || ev_catch(SIGHUP))
 		return ERR_IO;
 	signal(SIGPIPE, SIG_IGN);
+	return ERR_OK;
+}
+
+static enum err start(struct edge *e)
+{
 	mem_start(e);
 	link_start(e);
 	call_setup(e);
--- a/src/edge/ev.c
+++ b/src/edge/ev.c
@@ -41,6 +41,8 @@
 
 enum err ev_init(struct ev *ev)
 {
+	uint64_t one = 1;
+
 	memset(ev, 0, sizeof(*ev));
 	tmr_init(&ev->timers);
 	ev->now_ns = tmr_now();
@@ -49,6 +51,9 @@
 	if (ev->signal_fd < 0 || ev->epoll_fd < 0)
 		return ERR_IO;
 	wake_fd = ev->signal_fd;
+	/* Signals that came before are handled by the first round. */
+	if (write(wake_fd, &one, sizeof(one)) < 0)
+		return ERR_IO;
 	return ev_add(ev, ev->signal_fd, EV_SIGNAL, HND_NONE, EPOLLIN);
 }
 
