--- a/scripts/edge.sh
+++ b/scripts/edge.sh
@@ -11,8 +11,16 @@
 dir=$(mktemp -d)
 port=${EDGE_PORT:-21700}
 store=127.21.0.1:$port
+# Where VMs reach the store and the backend servers; a proxy may stand between.
+vm_store=$store
+server_net=127.21.1
+server_count=4
+# Zone of each backend server, by number.
+server_zones=(z0 z0 z1 z2 z2)
 pids=()
 declare -A pid_of
+# Start of each backend server in Unix milliseconds; 1 where there is none.
+declare -A server_born
 failed=0
 
 cleanup() {
@@ -72,11 +80,16 @@
 		\"max_conns\":390,\"protocol\":\"h1\",\"tls\":false}]}"
 }
 
+server() { # N ; its runs are also kept in $runs_dir, if set
+	start "s$1" "$build/serverd" "127.21.1.$1:$port:i-$1" \
+		${runs_dir:+"$runs_dir/i-$1"}
+}
+
 server_row() { # N STATE
-	local zones=(z0 z0 z1 z2 z2)
-	put servers "i-$1" "{\"address\":\"127.21.1.$1:$port\",\"born\":1,
+	put servers "i-$1" "{\"address\":\"$server_net.$1:$port\",
+		\"born\":${server_born[$1]:-1},
 		\"info\":{\"service\":\"svc\",\"version\":\"v1\",
-		\"zone\":\"${zones[$1]}\",\"slots\":6},
+		\"zone\":\"${server_zones[$1]}\",\"slots\":6},
 		\"status\":{\"state\":\"$2\",\"seq\":1,
 		\"warmup_left\":\"0ms\"}}"
 }
@@ -89,7 +102,7 @@
 	"ready": "127.21.2.$1:$((port + 1))",
 	"directory": "127.21.2.$1:$((port + 2))",
 	"control": "127.21.2.$1:$((port + 3))",
-	"store": "$store",
+	"store": "$vm_store",
 	"seeds": ["127.21.2.1:$((port + 3))", "127.21.2.2:$((port + 3))"],
 	"zones": {"z0": "ra", "z1": "ra", "z2": "rb"},
 	"peer_port": $((port + 4)), "peer_trust": "network",
@@ -134,7 +147,7 @@
 
 runs() { # REQUEST-ID ; how often it ran, at all servers
 	local n
-	for n in 1 2 3 4; do
+	for n in $(seq $server_count); do
 		curl -s -m 2 "http://127.21.1.$n:$port/stub/runs"
 	done | grep -cx "$1"
 }
@@ -155,12 +168,12 @@
 fleet() { # starts all, with the configuration of version 3
 	local n
 	start store "$build/rowsd" "$store"
-	for n in 1 2 3 4; do
-		start "s$n" "$build/serverd" "127.21.1.$n:$port:i-$n"
+	for n in $(seq $server_count); do
+		server "$n"
 	done
 	sleep 0.5
 	config 3 safe unsafe upload
-	for n in 1 2 3 4; do
+	for n in $(seq $server_count); do
 		server_row "$n" ready
 	done
 	edges
--- a/tools/serverd.c
+++ b/tools/serverd.c
@@ -2,15 +2,17 @@
  * Stand-in of a users' backend server: answers what the pages of the users'
  * platform say, with a fault on request.
  *
- *   serverd ADDRESS:PORT:ID
+ *   serverd ADDRESS:PORT:ID [RUNS-FILE]
  *
- * Any path: runs the request and answers 200 with its body, or "ok". GET
- * /stub/runs gives a line "REQUEST-ID RUNS" for each request that ran. GET
- * /stub/fault?mode=M sets the fault: none, reset (runs, then no answer), shed
- * (503, not run), error (500), hang, unsigned (no proof), stray (an answer of
- * another request comes first), cut (half of the body).
+ * Each run is also appended to RUNS-FILE, which outlives the process. Any path:
+ * runs the request and answers 200 with its body, or "ok". GET /stub/runs gives
+ * a line "REQUEST-ID RUNS" for each request that ran. GET /stub/fault?mode=M
+ * sets the fault: none, reset (runs, then no answer), shed (503, not run),
+ * error (500), hang, unsigned (no proof), stray (an answer of another request
+ * comes first), cut (half of the body).
  */
 #include <civetweb.h>
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,13 +24,15 @@
 #define MAX_RUNS 65536
 #define ID_BYTES 64
 #define WORK_US 20000
-#define HANG_S 20
+#define HANG_MS 20000
+#define HANG_STEP_MS 50
 #define BODY_BYTES (1 << 20)
 
 static char server_id[ID_BYTES];
 static char fault[16] = "none";
 static char runs[MAX_RUNS][ID_BYTES];
 static unsigned run_count;
+static int runs_fd = -1;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static int send_answer(struct mg_connection *c, int status, const char *extra,
@@ -57,6 +61,8 @@
 	pthread_mutex_lock(&lock);
 	if (run_count < MAX_RUNS)
 		str_copy(runs[run_count++], ID_BYTES, str_from(id));
+	if (runs_fd >= 0 && dprintf(runs_fd, "%s\n", id) < 0)
+		perror("serverd: record of runs");
 	pthread_mutex_unlock(&lock);
 }
 
@@ -90,7 +96,7 @@
 	char *body = malloc(BODY_BYTES);
 	struct str whole = STR("ok");
 	size_t len = 0;
-	int n = 1;
+	int n = 1, waited_ms;
 
 	while (body && len < BODY_BYTES && n > 0) {
 		n = mg_read(c, body + len, BODY_BYTES - len);
@@ -100,8 +106,9 @@
 		whole = (struct str){body, len};
 	note_run(id);
 	usleep(WORK_US);
-	if (has_fault("hang"))
-		sleep(HANG_S);
+	for (waited_ms = 0; has_fault("hang") && waited_ms < HANG_MS;
+	     waited_ms += HANG_STEP_MS)
+		usleep(HANG_STEP_MS * 1000);
 	if (has_fault("reset"))
 		mg_close_connection(c);
 	else if (has_fault("error"))
@@ -154,7 +161,7 @@
 				 "keep_alive_timeout_ms",
 				 "10000",
 				 NULL};
-	struct str address = str_from(argc == 2 ? argv[1] : "");
+	struct str address = str_from(argc == 2 || argc == 3 ? argv[1] : "");
 	char listen[64];
 	size_t at = address.len;
 	struct mg_context *ctx;
@@ -162,9 +169,15 @@
 	while (at > 0 && address.ptr[at - 1] != ':')
 		at--;
 	if (!at) {
-		fprintf(stderr, "usage: serverd ADDRESS:PORT:ID\n");
+		fprintf(stderr, "usage: serverd ADDRESS:PORT:ID [RUNS-FILE]\n");
 		return 2;
 	}
+	if (argc == 3)
+		runs_fd = open(argv[2], O_WRONLY | O_CREAT | O_APPEND, 0600);
+	if (argc == 3 && runs_fd < 0) {
+		perror(argv[2]);
+		return 1;
+	}
 	str_copy(server_id, sizeof(server_id), str_from_offset(address, at));
 	str_copy(listen, sizeof(listen), (struct str){address.ptr, at - 1});
 	options[1] = listen;
