Add explain, which tells the story of a request from logs

currantpaddle explain ID LOG... prints the lines about a request and what its VMs and backend servers went through around it.

--- a/scripts/it_explain.sh
+++ b/scripts/it_explain.sh
@@ -39,6 +39,14 @@
 check "its server was ejected by this VM" \
 	"$(grep -h '"event":"eject"' "$dir/e1.log" | grep "\"$server\"" |
 		value outcome)" broken
+explained=$("$build/currantpaddle" explain q$request_id "$dir"/e*.log)
+check "explain tells the attempt, the ejection and the answer" \
+	"$(grep -oE 'e1 (broken|eject|refuse)' <<<"$explained" |
+		cut -d ' ' -f 2 | xargs)" \
+	"broken eject refuse"
+"$build/currantpaddle" explain q-none "$dir"/e*.log >"$dir/none" 2>&1
+check "explain knows no such request" "$? $(cat "$dir/none")" \
+	"1 no line about request q-none"
 fault none 1 2 3 4
 sleep 4
 check "and returned later" \
--- a/src/main.c
+++ b/src/main.c
@@ -3,6 +3,7 @@
 
 #include "cmd_addresses.h"
 #include "cmd_bundle.h"
+#include "cmd_explain.h"
 #include "cmd_peerkey.h"
 #include "cmd_status.h"
 #include "cmd_stop.h"
@@ -59,6 +60,7 @@
 	{"bundle", cmd_bundle, "check, sign, submit and show bundles"},
 	{"stop", cmd_stop, "stop a VM or drain a backend server"},
 	{"status", cmd_status, "show the state that one VM sees"},
+	{"explain", cmd_explain, "tell from logs what became of a request"},
 	{"addresses", cmd_addresses, "ask which addresses callers use"},
 };
 
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -37,7 +37,7 @@
 /* After its deadline a request is given up. */
 #define ANSWER_MS (DEADLINE_MS + 1000)
 #define ADDRESS_NS (2 * NS_PER_S)
-#define PAUSE_US 20000
+#define MAX_PAUSE_US 40000
 #define MAX_BAD_LINES 40
 /* Share of the quiet requests that may fail, as its inverse. */
 #define QUIET_SHARE 100
@@ -360,7 +360,7 @@
 		struct record r = {.runs = 0};
 		void *row;
 
-		usleep((useconds_t)draw(c, PAUSE_US * 2));
+		usleep((useconds_t)draw(c, MAX_PAUSE_US));
 		if (!connect_caller(c))
 			continue;
 		snprintf(r.id, sizeof(r.id), "s%llu-%d-%llu",
