--- a/src/ent.c
+++ b/src/ent.c
@@ -305,36 +305,10 @@
 static void add_metrics(void *ctx, struct strbuf *out)
 {
 	struct ent *ent = ctx;
-	struct peer_stats peer;
-	struct plat_stats plat;
-
-	peer_get_stats(ent->peer, &peer);
-	plat_get_stats(ent->plat, &plat);
-	strbuf_addf(out,
-		    "currantpaddle_peer_sent_messages_total %llu\n"
-		    "currantpaddle_peer_sent_bytes_total %llu\n"
-		    "currantpaddle_peer_received_messages_total %llu\n"
-		    "currantpaddle_peer_received_bytes_total %llu\n"
-		    "currantpaddle_peer_rejected_total %llu\n"
-		    "currantpaddle_peer_dropped_total %llu\n",
-		    (unsigned long long)peer.sent_messages,
-		    (unsigned long long)peer.sent_bytes,
-		    (unsigned long long)peer.received_messages,
-		    (unsigned long long)peer.received_bytes,
-		    (unsigned long long)peer.rejected,
-		    (unsigned long long)peer.dropped);
-	strbuf_addf(out,
-		    "currantpaddle_platform_reads_total %llu\n"
-		    "currantpaddle_platform_writes_total %llu\n"
-		    "currantpaddle_platform_failures_total %llu\n",
-		    (unsigned long long)plat.reads,
-		    (unsigned long long)plat.writes,
-		    (unsigned long long)plat.failures);
-	strbuf_addf(out,
-		    "currantpaddle_rollout_link_bytes_total %llu\n"
-		    "currantpaddle_rollout_object_bytes_total %llu\n",
-		    (unsigned long long)rol_link_bytes(&ent->core),
-		    (unsigned long long)rol_object_bytes(&ent->core));
+
+	peer_add_metrics(ent->peer, out);
+	plat_add_metrics(ent->plat, out);
+	rol_add_metrics(&ent->core, out);
 }
 
 static int poll_timeout_ms(const struct ent *ent)
--- a/src/peer.c
+++ b/src/peer.c
@@ -443,3 +443,23 @@
 	if (p->zap)
 		out->rejected += zap_rejected(p->zap);
 }
+
+void peer_add_metrics(const struct peer *p, struct strbuf *out)
+{
+	struct peer_stats s;
+
+	peer_get_stats(p, &s);
+	strbuf_addf(out,
+		    "currantpaddle_peer_sent_messages_total %llu\n"
+		    "currantpaddle_peer_sent_bytes_total %llu\n"
+		    "currantpaddle_peer_received_messages_total %llu\n"
+		    "currantpaddle_peer_received_bytes_total %llu\n"
+		    "currantpaddle_peer_rejected_total %llu\n"
+		    "currantpaddle_peer_dropped_total %llu\n",
+		    (unsigned long long)s.sent_messages,
+		    (unsigned long long)s.sent_bytes,
+		    (unsigned long long)s.received_messages,
+		    (unsigned long long)s.received_bytes,
+		    (unsigned long long)s.rejected,
+		    (unsigned long long)s.dropped);
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -41,5 +41,7 @@
 void peer_receive(struct peer *p,
 		  void (*on_msg)(void *ctx, const struct msg *m), void *ctx);
 void peer_get_stats(const struct peer *p, struct peer_stats *out);
+/* Appends the counters as Prometheus text. */
+void peer_add_metrics(const struct peer *p, struct strbuf *out);
 
 #endif
--- a/src/plat.c
+++ b/src/plat.c
@@ -248,3 +248,16 @@
 	out->writes = __atomic_load_n(&p->stats.writes, __ATOMIC_RELAXED);
 	out->failures = __atomic_load_n(&p->stats.failures, __ATOMIC_RELAXED);
 }
+
+void plat_add_metrics(const struct plat *p, struct strbuf *out)
+{
+	struct plat_stats s;
+
+	plat_get_stats(p, &s);
+	strbuf_addf(out,
+		    "currantpaddle_platform_reads_total %llu\n"
+		    "currantpaddle_platform_writes_total %llu\n"
+		    "currantpaddle_platform_failures_total %llu\n",
+		    (unsigned long long)s.reads, (unsigned long long)s.writes,
+		    (unsigned long long)s.failures);
+}
--- a/src/plat.h
+++ b/src/plat.h
@@ -32,5 +32,7 @@
 /* Copies the call; the answer comes by call->done on the core thread. */
 void plat_call(struct plat *p, const struct core_plat_call *call);
 void plat_get_stats(const struct plat *p, struct plat_stats *out);
+/* Appends the counters as Prometheus text. */
+void plat_add_metrics(const struct plat *p, struct strbuf *out);
 
 #endif
--- a/src/rol.c
+++ b/src/rol.c
@@ -579,3 +579,12 @@
 {
 	return c->rol->link_bytes;
 }
+
+void rol_add_metrics(const struct core *c, struct strbuf *out)
+{
+	strbuf_addf(out,
+		    "currantpaddle_rollout_link_bytes_total %llu\n"
+		    "currantpaddle_rollout_object_bytes_total %llu\n",
+		    (unsigned long long)rol_link_bytes(c),
+		    (unsigned long long)rol_object_bytes(c));
+}
--- a/src/rol.h
+++ b/src/rol.h
@@ -51,5 +51,7 @@
 uint64_t rol_link_bytes(const struct core *c);
 /* Bundle bytes received from the object store. */
 uint64_t rol_object_bytes(const struct core *c);
+/* Appends both as Prometheus text. */
+void rol_add_metrics(const struct core *c, struct strbuf *out);
 
 #endif
