Spread Retry-After by the reason of the refusal, the load and the priority

Every refusal named 0.4 s, so that callers who were refused together returned together, and a VM that stops sent its callers away for longer than the others need. gate_retry_after() decides it: 25 to 75 ms from a VM that stops, 0.2 to 0.6 s while it starts, and about the time that a server needs for a request where there is no room, the most urgent first. Tests: test_retry_after; an answer of the store that is too large in it_edge.sh.

--- a/scripts/it_edge.sh
+++ b/scripts/it_edge.sh
@@ -44,6 +44,15 @@
 sleep 2
 ask 1 /safe-new/x
 check "a damaged configuration changes nothing" "$status" 200
+echo "# an answer of the store that is larger than a VM takes"
+put op config "{\"version\": \"r10\", \"pad\": \"$(head -c 5000000 /dev/zero |
+	tr '\0' x)\"}"
+sleep 2
+check "a line names the call and what is wrong" \
+	"$(cat "$dir"/e?.log | grep -c '"table":"op","error":"invalid"' |
+		sed 's/[1-9][0-9]*/some/')" some
+ask 1 /safe-new/x
+check "the last good state is kept" "$status" 200
 config 11 safe unsafe upload safe-new
 
 echo "# work that runs twice, and a false report that it did not run"
--- a/src/edge/gate.c
+++ b/src/edge/gate.c
@@ -12,6 +12,14 @@
 #define LAST_PRIORITY 3
 /* Load up to which a request is sent that will be late anyway. */
 #define LATE_LOAD 900
+/* Time until an address answer that leaves this VM out, or another VM, serves
+ * the caller. */
+#define STOPPING_RETRY_NS (50 * NS_PER_MS)
+/* A first configuration mostly comes within half a second. */
+#define STARTING_RETRY_NS (400 * NS_PER_MS)
+#define MIN_RETRY_NS (200 * NS_PER_MS)
+#define MAX_RETRY_NS (2 * NS_PER_S)
+
 /* True while an answer can be expected within the objective. */
 static bool can_be_in_time(const struct gate_request *r)
 {
@@ -35,3 +43,27 @@
 		return GATE_SEND;
 	return r->age_ns < r->objective_ns ? GATE_WAIT : GATE_REFUSE;
 }
+
+static int64_t retry_base(const struct gate_return *r)
+{
+	uint32_t priority = r->priority < LAST_PRIORITY ? r->priority
+							: LAST_PRIORITY;
+	int64_t base;
+
+	if (r->why == GATE_STOPPING)
+		return STOPPING_RETRY_NS;
+	if (r->why == GATE_STARTING)
+		return STARTING_RETRY_NS;
+	base = r->mean_ns * (priority + 2) / 2;
+	if (base < MIN_RETRY_NS)
+		return MIN_RETRY_NS;
+	return base < MAX_RETRY_NS ? base : MAX_RETRY_NS;
+}
+
+int64_t gate_retry_after(const struct gate_return *r)
+{
+	int64_t base = retry_base(r);
+
+	/* Between half of it and one and a half. */
+	return base / 2 + (int64_t)(r->draw % (uint64_t)base);
+}
--- a/src/edge/gate.h
+++ b/src/edge/gate.h
@@ -33,6 +33,31 @@
 	uint32_t load;
 };
 
+enum gate_refusal {
+	/* This VM is stopping; the others serve. */
+	GATE_STOPPING,
+	/* It has just started and knows no configuration yet. */
+	GATE_STARTING,
+	/* No server has room for the request. */
+	GATE_NO_ROOM,
+};
+
+/* A caller that is refused. */
+struct gate_return {
+	enum gate_refusal why;
+	/* As in gate_request. */
+	int64_t mean_ns;
+	uint32_t priority;
+	/* Random; spreads the callers. */
+	uint64_t draw;
+};
+
+/*
+ * When the caller should come back. Where there is no room, the most urgent
+ * come first, about when a server has worked off a request; all are spread, so
+ * that those who were refused together do not return together.
+ */
+int64_t gate_retry_after(const struct gate_return *r);
 /* Load from which a server gets no such request; load is not looked at. */
 uint32_t gate_max_load(const struct gate_request *r);
 enum gate_decision gate_decide(const struct gate_request *r);
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -28,8 +28,6 @@
 /* Time after its start in which a VM lets requests wait for its first
  * configuration: it mostly comes within half a second. */
 #define FIRST_CONF_NS NS_PER_S
-/* When to come back after a refusal. */
-#define RETRY_AFTER_NS (400 * NS_PER_MS)
 
 struct req_row *req_get(const struct edge *e, struct hnd h)
 {
@@ -67,21 +65,44 @@
 	r->state = REQ_DONE;
 }
 
+/* 0 where a status does not ask the caller to come back. */
+static int64_t retry_after_of(struct edge *e, int status, int64_t mean_ns,
+			      uint32_t priority)
+{
+	struct gate_return r = {
+		.why = GATE_NO_ROOM,
+		.mean_ns = mean_ns,
+		.priority = priority,
+		.draw = edge_random(e),
+	};
+
+	if (status != 503)
+		return 0;
+	if (e->leaving)
+		r.why = GATE_STOPPING;
+	else if (!edge_has_state(e))
+		r.why = GATE_STARTING;
+	return gate_retry_after(&r);
+}
+
 void req_refuse(struct edge *e, struct req_row *r, int status, const char *why)
 {
 	struct hnd caller = r->caller;
+	int64_t retry_after;
 
 	/* Only what surely has not run is reported so. */
 	if (status == 503 && r->may_have_run)
 		status = 502;
 	if (r->service)
 		bud_lost(e, edge_service(e, r->service));
+	retry_after = retry_after_of(e, status, r->service ? req_mean(e, r) : 0,
+				     r->priority);
 	ctr_add(CTR_REFUSED, status == 503);
 	ctr_add(CTR_UNKNOWN, status == 502 || status == 504);
 	ctr_observe(CTR_TIME_REQUEST, e->ev.now_ns - r->start_ns);
 	req_log(e, r, "refuse", why, status);
 	req_finish(e, r);
-	cin_answer(e, caller, status, why, status == 503 ? RETRY_AFTER_NS : 0);
+	cin_answer(e, caller, status, why, retry_after);
 }
 
 static bool is_forwarded(const struct edge *e, const struct hreq *head,
@@ -149,7 +170,7 @@
 			LOGS_INT("version", e->conf ? e->conf->version : 0),
 		},
 		5);
-	cin_answer(e, caller, status, why, status == 503 ? RETRY_AFTER_NS : 0);
+	cin_answer(e, caller, status, why, retry_after_of(e, status, 0, 0));
 	return HND_NONE;
 }
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -56,6 +56,55 @@
 	}
 }
 
+/* Guards against callers who are refused together and return together, who are
+ * sent away for longer than the reason lasts, and against urgent ones who come
+ * back after others. */
+static void test_retry_after(void **state)
+{
+	static const struct {
+		const char *name;
+		enum gate_refusal why;
+		int mean_ms;
+		uint32_t priority;
+		int min_ms, max_ms;
+	} cases[] = {
+		{"stopping", GATE_STOPPING, 400, 1, 25, 75},
+		{"starting", GATE_STARTING, 0, 0, 200, 600},
+		{"no room, urgent", GATE_NO_ROOM, 400, 0, 200, 600},
+		{"no room, others", GATE_NO_ROOM, 400, 2, 400, 1200},
+		{"no room, unknown priority", GATE_NO_ROOM, 400, 99, 500, 1500},
+		{"short work", GATE_NO_ROOM, 10, 0, 100, 300},
+		{"long work", GATE_NO_ROOM, 9000, 0, 1000, 3000},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		int64_t least = INT64_MAX, most = 0;
+		uint64_t draw;
+
+		for (draw = 0; draw < 1000; draw++) {
+			struct gate_return r = {
+				.why = cases[i].why,
+				.mean_ns = cases[i].mean_ms * NS_PER_MS,
+				.priority = cases[i].priority,
+				.draw = draw * 7919 * NS_PER_MS,
+			};
+			int64_t after = gate_retry_after(&r);
+
+			least = after < least ? after : least;
+			most = after > most ? after : most;
+		}
+		if (least < cases[i].min_ms * NS_PER_MS ||
+		    most > cases[i].max_ms * NS_PER_MS ||
+		    most - least <
+			    (cases[i].max_ms - cases[i].min_ms) / 2 * NS_PER_MS)
+			fail_msg("%s: %lld to %lld ms", cases[i].name,
+				 (long long)(least / NS_PER_MS),
+				 (long long)(most / NS_PER_MS));
+	}
+}
+
 /* One server group that gets 1.3 times what it can do for 10 s, played with
  * and without admission: callers must get more answers within the objective
  * than from a queue without bound. */
@@ -140,6 +189,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_decisions),
+		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_overload),
 	};
 
