Send a read that stalls to another server

Cause: a request at a server that hangs waited for its route's time-out, and its caller got a 504, also where it may be repeated.

Change: once a safe request counts as stalled, its server is given up and it is sent to another one, within its attempts and the retry budget, in a service where few requests are lost; elsewhere a second run would take a slot from others. Test: it_edge.sh, a read that waits for a server which has stalled (504 before).

--- a/scripts/it_edge.sh
+++ b/scripts/it_edge.sh
@@ -84,6 +84,17 @@
 fault none 1 2 3 4
 sleep 4
 
+echo "# a read that waits for a server which has stalled"
+fault hang 1
+for n in 1 2 3; do
+	ask 1 /safe/x
+	check "read $n while the nearest server hangs" "$status" 200
+done
+ask 1 /unsafe/x -d booking
+check "a booking is not sent twice" "$(runs q$request_id)" 1
+fault none 1 2 3 4
+sleep 4
+
 echo "# a server that gets work after it said that it leaves"
 server_row 3 draining
 sleep 2
--- a/src/edge/reqa.c
+++ b/src/edge/reqa.c
@@ -32,6 +32,19 @@
 	return true;
 }
 
+void req_move(struct edge *e, struct hnd h)
+{
+	struct req_row *r = req_get(e, h);
+	struct hnd link = r->link;
+
+	r->link = HND_NONE;
+	r->may_have_run = true;
+	if (repeat(e, h, "stalled"))
+		link_cancel(e, link);
+	else
+		r->link = link;
+}
+
 bool req_is_head(const struct edge *e, struct hnd h)
 {
 	const struct req_row *r = req_get(e, h);
--- a/src/edge/reqi.h
+++ b/src/edge/reqi.h
@@ -30,6 +30,8 @@
 void req_try_send(struct edge *e, struct hnd h);
 /* Outcome of the current attempt. */
 void req_note(struct edge *e, struct req_row *r, enum hlth_outcome outcome);
+/* Sends a safe request whose server stalls to another one, if it may. */
+void req_move(struct edge *e, struct hnd h);
 /* Mean time of the service's answers. */
 int64_t req_mean(struct edge *e, const struct req_row *r);
 
--- a/src/edge/reqt.c
+++ b/src/edge/reqt.c
@@ -1,5 +1,6 @@
 #include "req.h"
 
+#include "bud.h"
 #include "ctr.h"
 #include "hlth.h"
 #include "reqi.h"
@@ -28,6 +29,9 @@
 	req_note(e, r, HLTH_STALLED);
 	r->stalled = true;
 	req_log(e, r, "stalled", "", (e->ev.now_ns - r->sent_ns) / NS_PER_MS);
+	/* Where many are lost or late, a second run takes a slot from them. */
+	if (r->kind == CONF_SAFE && bud_is_calm(e, edge_service(e, r->service)))
+		req_move(e, h);
 }
 
 static void on_limit(struct edge *e, struct req_row *r)
