Move a stalled read only to a server that takes it at once

Cause: a read that stalled at the only server of its service was given up with 502, and so was one whose objective had passed where no slot was free, although its server might still have answered.

Change: it is moved only if another server admits it. Test: it_edge.sh, a slow read that is given up although no other server can take it (502 before). Lines of requests without a route name no kind.

--- a/scripts/it_edge.sh
+++ b/scripts/it_edge.sh
@@ -95,6 +95,20 @@
 fault none 1 2 3 4
 sleep 4
 
+echo "# a slow read that is given up although no other server can take it"
+for n in 2 3 4; do
+	server_row $n draining
+done
+sleep 2
+fault slow 1
+ask 1 /safe/x
+check "a read at the only server, which is slow" "$status" 200
+fault none 1
+for n in 2 3 4; do
+	server_row $n ready
+done
+sleep 4
+
 echo "# a server that gets work after it said that it leaves"
 server_row 3 draining
 sleep 2
--- a/src/edge/req.c
+++ b/src/edge/req.c
@@ -41,21 +41,24 @@
 {
 	const struct srv_row *s = tab_get(&e->servers, r->server);
 
-	logs_event(LOGS_INFO, event,
-		   (struct logs_field[]){
-			   LOGS_STR("request", strbuf_view(&r->id)),
-			   LOGS_STR("why", str_from(why)),
-			   LOGS_INT("value", number),
-			   LOGS_STR("server", str_from(s ? s->id : "")),
-			   LOGS_INT("sends", r->sends),
-			   LOGS_INT("age_ms",
-				    (e->ev.now_ns - r->start_ns) / NS_PER_MS),
-			   LOGS_INT("left_ms", (r->deadline_ns - e->ev.now_ns) /
-						       NS_PER_MS),
-			   LOGS_STR("kind", str_from(conf_kind_name(r->kind))),
-			   LOGS_INT("trial", r->trial),
-		   },
-		   9);
+	logs_event(
+		LOGS_INFO, event,
+		(struct logs_field[]){
+			LOGS_STR("request", strbuf_view(&r->id)),
+			LOGS_STR("why", str_from(why)),
+			LOGS_INT("value", number),
+			LOGS_STR("server", str_from(s ? s->id : "")),
+			LOGS_INT("sends", r->sends),
+			LOGS_INT("age_ms",
+				 (e->ev.now_ns - r->start_ns) / NS_PER_MS),
+			LOGS_INT("left_ms",
+				 (r->deadline_ns - e->ev.now_ns) / NS_PER_MS),
+			LOGS_STR("kind",
+				 str_from(r->service ? conf_kind_name(r->kind)
+						     : "")),
+			LOGS_INT("trial", r->trial),
+		},
+		9);
 }
 
 void req_finish(struct edge *e, struct req_row *r)
@@ -402,6 +405,15 @@
 	}
 }
 
+bool req_can_send(struct edge *e, const struct req_row *r)
+{
+	struct gate_request gate = gate_of(e, r);
+	struct pick pick = pick_server(e, r, gate_max_load(&gate));
+
+	gate.load = pick.load;
+	return pick.result == PICK_FOUND && gate_decide(&gate) == GATE_SEND;
+}
+
 void req_try_send(struct edge *e, struct hnd h)
 {
 	struct req_row *r = req_get(e, h);
--- a/src/edge/reqa.c
+++ b/src/edge/reqa.c
@@ -37,6 +37,9 @@
 	struct req_row *r = req_get(e, h);
 	struct hnd link = r->link;
 
+	/* Its server may still answer, which is better than a refusal. */
+	if (!req_can_send(e, r))
+		return;
 	r->link = HND_NONE;
 	r->may_have_run = true;
 	if (repeat(e, h, "stalled"))
--- a/src/edge/reqi.h
+++ b/src/edge/reqi.h
@@ -28,6 +28,8 @@
 int64_t req_route_due(const struct edge *e);
 /* Chooses a server and sends the request, or lets it wait. */
 void req_try_send(struct edge *e, struct hnd h);
+/* True when req_try_send() would send it at once; changes nothing. */
+bool req_can_send(struct edge *e, const struct req_row *r);
 /* Outcome of the current attempt. */
 void req_note(struct edge *e, struct req_row *r, enum hlth_outcome outcome);
 /* Sends a safe request whose server stalls to another one, if it may. */
--- a/tools/serverd.c
+++ b/tools/serverd.c
@@ -8,8 +8,8 @@
  * runs the request and answers 200 with its body, or "ok". GET /stub/runs gives
  * a line "REQUEST-ID RUNS" for each request that ran. GET /stub/fault?mode=M
  * sets the fault: none, reset (runs, then no answer), shed (503, not run),
- * error (500), hang, unsigned (no proof), stray (an answer of another request
- * comes first), cut (half of the body).
+ * error (500), hang, slow (1.5 s), unsigned (no proof), stray (an answer of
+ * another request comes first), cut (half of the body).
  */
 #include <civetweb.h>
 #include <fcntl.h>
@@ -25,6 +25,7 @@
 #define ID_BYTES 64
 #define WORK_US 20000
 #define HANG_MS 20000
+#define SLOW_MS 1500
 #define HANG_STEP_MS 50
 #define BODY_BYTES (1 << 20)
 
@@ -109,6 +110,8 @@
 	for (waited_ms = 0; has_fault("hang") && waited_ms < HANG_MS;
 	     waited_ms += HANG_STEP_MS)
 		usleep(HANG_STEP_MS * 1000);
+	if (has_fault("slow"))
+		usleep(SLOW_MS * 1000);
 	if (has_fault("reset"))
 		mg_close_connection(c);
 	else if (has_fault("error"))
@@ -119,7 +122,7 @@
 		send_answer(c, 200, proof, id, whole, whole.len / 2);
 	else if (has_fault("stray"))
 		send_answer(c, 200, proof, "another", STR("stray"), 5);
-	if (has_fault("none") || has_fault("stray"))
+	if (has_fault("none") || has_fault("stray") || has_fault("slow"))
 		send_answer(c, 200, proof, id, whole, whole.len);
 	if (has_fault("cut"))
 		mg_close_connection(c);
