Try ejected servers at least each 3.4 s where work may not be repeated

In a calm service without repeatable work the pause between trials grew to 6.8 s, and a service is known to be calm no more only a second after that.

--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -22,8 +22,12 @@
 #define TRIAL_NS (800 * NS_PER_MS)
 /* The same by work that runs once at most. */
 #define UNSAFE_TRIAL_NS (1700 * NS_PER_MS)
-/* A pause doubles with each failed trial, up to this many times. */
+/* A pause doubles with each failed trial, up to this many times: 3.2 and 3.4 s,
+ * so that most ejected servers get work within any two seconds. Capacity that
+ * gets none counts as taken out of service once many requests are lost, which
+ * the VMs notice only after a second. */
 #define TRIAL_DOUBLINGS 2
+#define UNSAFE_TRIAL_DOUBLINGS 1
 /* A failure so soon after another one belongs to the same trial. */
 #define SAME_TRIAL_NS (300 * NS_PER_MS)
 /* A server in use that got no work for this long is given some: capacity
@@ -205,11 +209,13 @@
 			   bool calm)
 {
 	int64_t pause = kind == CONF_SAFE ? TRIAL_NS : UNSAFE_TRIAL_NS;
+	uint32_t doublings = kind == CONF_SAFE ? TRIAL_DOUBLINGS
+					       : UNSAFE_TRIAL_DOUBLINGS;
 
 	if (!calm)
 		return pause;
-	return pause << (s->trial_failures < TRIAL_DOUBLINGS ? s->trial_failures
-							     : TRIAL_DOUBLINGS);
+	return pause << (s->trial_failures < doublings ? s->trial_failures
+						       : doublings);
 }
 
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
