--- a/src/edge/hlth.c
+++ b/src/edge/hlth.c
@@ -22,12 +22,10 @@
 #define TRIAL_NS (800 * NS_PER_MS)
 /* The same by work that runs once at most. */
 #define UNSAFE_TRIAL_NS (1700 * NS_PER_MS)
-/* A pause doubles with each failed trial, up to this many times: 3.2 and 3.4 s,
- * so that most ejected servers get work within any two seconds. Capacity that
- * gets none counts as taken out of service once many requests are lost, which
- * the VMs notice only after a second. */
+/* A pause between trials by work that may be repeated doubles with each failed
+ * trial, up to this many times: to 3.2 s, so that most ejected servers get work
+ * within any two seconds. */
 #define TRIAL_DOUBLINGS 2
-#define UNSAFE_TRIAL_DOUBLINGS 1
 /* A failure so soon after another one belongs to the same trial. */
 #define SAME_TRIAL_NS (300 * NS_PER_MS)
 /* A server in use that got no work for this long is given some: capacity
@@ -202,20 +200,19 @@
 }
 
 /* Pause after the last trial of an ejected server. A server that failed its
- * trials will mostly fail the next one, which costs a repeat or, where work
- * may not be repeated, an answer. Where many requests are lost, capacity is
- * worth more than that. */
+ * trials will mostly fail the next one, which costs a repeat. Where many
+ * requests are lost, capacity is worth more than that; a service without
+ * repeatable work may get there before the counts of the others tell. */
 static int64_t trial_pause(const struct srv_row *s, enum conf_kind kind,
 			   bool calm)
 {
-	int64_t pause = kind == CONF_SAFE ? TRIAL_NS : UNSAFE_TRIAL_NS;
-	uint32_t doublings = kind == CONF_SAFE ? TRIAL_DOUBLINGS
-					       : UNSAFE_TRIAL_DOUBLINGS;
-
+	if (kind != CONF_SAFE)
+		return UNSAFE_TRIAL_NS;
 	if (!calm)
-		return pause;
-	return pause << (s->trial_failures < doublings ? s->trial_failures
-						       : doublings);
+		return TRIAL_NS;
+	return TRIAL_NS << (s->trial_failures < TRIAL_DOUBLINGS
+				    ? s->trial_failures
+				    : TRIAL_DOUBLINGS);
 }
 
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
