Do not take the sleep of a single VM for a pause

Cause: a VM that is the whole fleet has no gossip timer, so it sleeps longer than a second between requests; each first request then waited for probes of all backend servers.

Test: test_pause, single VM (4 probes before).

--- a/src/drn.c
+++ b/src/drn.c
@@ -97,7 +97,8 @@
 {
 	uint32_t i;
 
-	if (!core_was_paused(c))
+	/* A VM that is the whole fleet sleeps between requests. */
+	if (c->opts.standalone || !core_was_paused(c))
 		return;
 	for (i = 0; i < c->backends.len; i++) {
 		struct backend_row *be = tab_at(&c->backends, i);
--- a/tests/test_ejct.c
+++ b/tests/test_ejct.c
@@ -402,12 +402,14 @@
 		int after_ms;
 		uint32_t probes;
 		bool usable;
+		bool standalone;
 	} cases[] = {
 		{"no pause", 900, NO_ANSWER, 0, 0, true},
 		{"before the answer", 6000, NO_ANSWER, 10, SERVERS, false},
 		{"well", 6000, WELL, 10, SERVERS, true},
 		{"draining", 6000, DRAINING, 10, SERVERS, false},
 		{"probe lost", 6000, NO_ANSWER, 1001, SERVERS, true},
+		{"single VM", 6000, NO_ANSWER, 0, 0, true, true},
 	};
 	size_t k;
 
@@ -417,6 +419,7 @@
 
 		start(&t, 12);
 		be = server(&t, 0);
+		t.c.opts.standalone = cases[k].standalone;
 		t.c.last_tick_ns = START;
 		t.c.now = START + cases[k].pause_ms * NS_PER_MS;
 		drn_tick_pause(&t.c);
