Drain servers that say they are leaving, pause those that ask for it

Cause: a response with Server-Leaving, and a 503 with Retry-After, were passed on and had no effect here, so that requests went on to such servers.

Change: server_signals reads both fields. A pause excludes a server from load balancing, trials and the floor; requests that cannot wait for its end are refused at once, with a Retry-After not before it. States are decoded whole before they are applied; a truncated one was applied in part.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -105,6 +105,7 @@
 /* Resets the health, which was that of the incarnation before a restart. */
 static void reset_health(struct srv_row *s)
 {
+	s->paused_until_ns = 0;
 	s->ejected = false;
 	s->score = 0;
 	s->trial_successes = 0;
@@ -112,10 +113,62 @@
 	s->full_until_ns = 0;
 }
 
+bool srv_set_leaving(struct edge *e, struct srv_row *s, int64_t start_time_ms)
+{
+	bool known = s->said_leaving && s->leaving_start_ms >= start_time_ms;
+
+	if (known || start_time_ms < s->start_time_ms)
+		return false;
+	s->said_leaving = true;
+	s->leaving_start_ms = start_time_ms;
+	if (s->state == SRV_READY)
+		s->state = SRV_DRAINING;
+	log_server(s, "leaving");
+	return true;
+}
+
+void srv_pause(struct edge *e, struct srv_row *s, int64_t until_ns)
+{
+	if (until_ns <= s->paused_until_ns)
+		return;
+	s->paused_until_ns = until_ns;
+	logs_event(
+		LOGS_INFO, "server_paused",
+		(struct logs_field[]){
+			LOGS_STR("server", str_from(s->id)),
+			LOGS_INT("ms", (until_ns - e->ev.now_ns) / NS_PER_MS),
+		},
+		2);
+}
+
+bool srv_is_paused(const struct edge *e, const struct srv_row *s)
+{
+	return e->ev.now_ns < s->paused_until_ns;
+}
+
+/* True for the row of another incarnation than the known one, which counts its
+ * sequence anew. */
+static bool is_restart(const struct srv_row *s, const struct srv_report *r)
+{
+	return r->start_time_ms != s->start_time_ms ||
+	       (r->version > s->version && r->seq < s->seq);
+}
+
+/* A server that said that it is leaving stays in a drain even if its row still
+ * says that it is ready. */
+static enum srv_state reported_state(const struct srv_row *s,
+				     const struct srv_report *r)
+{
+	if (r->draining ||
+	    (s->said_leaving && s->leaving_start_ms >= r->start_time_ms))
+		return SRV_DRAINING;
+	return SRV_READY;
+}
+
 void srv_update(struct edge *e, const struct srv_report *r)
 {
 	struct srv_row *s = srv_find(e, edge_key(r->id), NULL);
-	enum srv_state state = r->draining ? SRV_DRAINING : SRV_READY;
+	enum srv_state state;
 	bool added = !s;
 
 	if (s)
@@ -124,15 +177,19 @@
 		return;
 	if (!s)
 		s = add(e, r);
-	if (!added && r->start_time_ms != s->start_time_ms) {
+	if (!added && is_restart(s, r)) {
 		log_server(s, "restarted");
 		reset_health(s);
+		if (r->start_time_ms <= s->start_time_ms)
+			s->said_leaving = false;
 		s->discovered_ns = e->ev.now_ns;
 	}
+	state = reported_state(s, r);
 	if (added || s->state != state) {
 		s->version = r->version;
 		log_server(s, added ? "listed"
-				    : (r->draining ? "draining" : "ready"));
+				    : (state == SRV_DRAINING ? "draining"
+							     : "ready"));
 	}
 	if (s->service != r->service) {
 		remove_from_service(e, s);
--- a/src/edge/backend_server.h
+++ b/src/edge/backend_server.h
@@ -13,6 +13,16 @@
 /* Records that another server responds at its address; it gets no more
  * requests. */
 void srv_set_replaced(struct edge *e, struct srv_row *s);
+/*
+ * Records that the incarnation of a server that started at that time is
+ * leaving. It is drained, whatever the store's row says, until it is no longer
+ * listed or a later incarnation is. Returns whether this was not known before.
+ */
+bool srv_set_leaving(struct edge *e, struct srv_row *s, int64_t start_time_ms);
+/* Keeps requests from the server until that time; a pause never gets
+ * shorter. */
+void srv_pause(struct edge *e, struct srv_row *s, int64_t until_ns);
+bool srv_is_paused(const struct edge *e, const struct srv_row *s);
 /* Iterate over the servers of a service; NULL at the end. */
 struct srv_row *srv_first(struct edge *e, uint64_t service, struct hnd *handle);
 struct srv_row *srv_next(const struct edge *e, const struct srv_row *s,
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -171,6 +171,10 @@
 	int64_t start_time_ms;
 	uint64_t seq;
 	uint64_t version;
+	/* The incarnation that started at leaving_start_ms said in a response
+	 * that it is leaving; see srv_set_leaving(). */
+	bool said_leaving;
+	int64_t leaving_start_ms;
 	int64_t slow_start_until_ns;
 	/* When this VM discovered the incarnation. */
 	int64_t discovered_ns;
@@ -188,6 +192,9 @@
 	/* It gets no requests before this time, as it was at capacity or
 	 * unreachable. */
 	int64_t full_until_ns;
+	/* Until then it wants no requests of this VM, not even trials; its
+	 * slots do not count as capacity. */
+	int64_t paused_until_ns;
 	/* Ejected from regular traffic by outlier detection; gets trial
 	 * requests only. */
 	bool ejected;
@@ -258,6 +265,8 @@
 	bool chunked;
 	bool has_length;
 	int64_t start_ns;
+	/* See struct pick; from the last choice of a server. */
+	int64_t servers_busy_until_ns;
 	/* When a queued request checks again for capacity. */
 	int64_t recheck_ns;
 	/* Start of the current attempt. */
--- a/src/edge/edge_admission.h
+++ b/src/edge/edge_admission.h
@@ -49,6 +49,9 @@
 	/* As in admit_request. */
 	int64_t mean_latency_ns;
 	uint32_t priority;
+	/* Time until the first server that cannot take requests now may take
+	 * them again; 0 or less if there is none. */
+	int64_t busy_ns;
 	/* Random number for the jitter. */
 	uint64_t random_bits;
 };
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -10,6 +10,7 @@
 #include "metrics.h"
 #include "logs.h"
 #include "request.h"
+#include "server_signals.h"
 
 #define RECV_BYTES 32768
 #define MAX_HEAD_BYTES 65536
@@ -324,6 +325,7 @@
 {
 	size_t len = hreq_head_len(strbuf_view(&c->in));
 	struct bconn_response *resp = &c->response;
+	struct srv_row *s;
 	const char *fault;
 
 	if (!len && c->in.len > MAX_HEAD_BYTES) {
@@ -341,6 +343,9 @@
 		fail_attempt(e, c, fault);
 		return STEP_STOP;
 	}
+	s = tab_get(&e->servers, c->server);
+	if (s)
+		sig_on_response(e, s, &resp->rsp);
 	if (resp->rsp.status / 100 == 1)
 		return STEP_NEXT;
 	c->head_done = true;
--- a/src/edge/edge_load_balancing.c
+++ b/src/edge/edge_load_balancing.c
@@ -112,7 +112,7 @@
 	struct hnd h;
 
 	for (s = srv_first(e, service, &h); s; s = srv_next(e, s, &h)) {
-		if (s->state != SRV_READY)
+		if (s->state != SRV_READY || srv_is_paused(e, s))
 			continue;
 		listed += s->slots;
 		in_use += hlth_is_ejected(e, s) ? 0 : s->slots;
@@ -120,11 +120,24 @@
 	return (int64_t)in_use * 1000 < e->settings.floor_permille * listed;
 }
 
-static void record_full(struct pick *out, const struct srv_row *s)
+/* Time until which the server gets no requests of this VM. */
+static int64_t busy_until_ns(const struct srv_row *s)
 {
-	out->result = PICK_FULL;
-	if (!out->full_until_ns || s->full_until_ns < out->full_until_ns)
-		out->full_until_ns = s->full_until_ns;
+	return s->full_until_ns > s->paused_until_ns ? s->full_until_ns
+						     : s->paused_until_ns;
+}
+
+/* A server that is busy for longer than the request may wait is no reason to
+ * queue it. */
+static void record_busy(const struct choice *ch, struct pick *out,
+			const struct srv_row *s)
+{
+	int64_t until = busy_until_ns(s);
+
+	if (!out->busy_until_ns || until < out->busy_until_ns)
+		out->busy_until_ns = until;
+	if (until < ch->req->expires_ns)
+		out->result = PICK_FULL;
 }
 
 /* Returns the server with the lowest cost, or HND_NONE. */
@@ -142,8 +155,8 @@
 			continue;
 		if (hlth_is_ejected(ch->e, s) && !ch->below_floor)
 			continue;
-		if (s->full_until_ns > ch->e->ev.now_ns) {
-			record_full(out, s);
+		if (busy_until_ns(s) > ch->e->ev.now_ns) {
+			record_busy(ch, out, s);
 			continue;
 		}
 		c = cost(ch, s);
@@ -169,7 +182,7 @@
 	for (s = srv_first(ch->e, ch->req->service, &h); s;
 	     s = srv_next(ch->e, s, &h)) {
 		if (s->state != SRV_READY || s->region != ch->e->region ||
-		    was_tried(ch->req, s->key) ||
+		    srv_is_paused(ch->e, s) || was_tried(ch->req, s->key) ||
 		    !hlth_trial_due(ch->e, s, ch->req->kind,
 				    low_failure_rate) ||
 		    (!s->ejected && load_permille(ch->e, s) >= 1000))
--- a/src/edge/edge_load_balancing.h
+++ b/src/edge/edge_load_balancing.h
@@ -5,7 +5,8 @@
 
 enum pick_result {
 	PICK_FOUND,
-	/* All eligible servers are at capacity, until full_until_ns. */
+	/* All eligible servers are at capacity, the first until
+	 * busy_until_ns. */
 	PICK_FULL,
 	/* No server is eligible, or all were tried. */
 	PICK_NONE,
@@ -18,7 +19,9 @@
 	bool trial;
 	/* Load of the server, see load_permille(); 0 for a trial. */
 	uint32_t load;
-	int64_t full_until_ns;
+	/* When the first of the servers that are at capacity, unreachable or
+	 * paused may get requests again; 0 if there is none. */
+	int64_t busy_until_ns;
 };
 
 /*
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -140,6 +140,39 @@
 	emsg_send_to_peers(e, &d);
 }
 
+static void put_leaving(struct edge *e, struct emsg_datagram *d,
+			const struct srv_row *s)
+{
+	emsg_begin(e, d, EMSG_LEAVING, 2);
+	mpk_put_uint(&d->out, s->key);
+	mpk_put_int(&d->out, s->leaving_start_ms);
+}
+
+void emsg_send_leaving(struct edge *e, const struct srv_row *s)
+{
+	struct emsg_datagram d;
+
+	put_leaving(e, &d, s);
+	emsg_send_to_peers(e, &d);
+	send_to_other_regions(e, &d);
+}
+
+static void on_leaving(struct edge *e, struct mpk_reader *in, uint64_t sender)
+{
+	uint64_t key = mpk_get_uint(in, 1, UINT64_MAX);
+	int64_t start_ms = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
+	const struct vm_row *from = vm_find(e, sender);
+	struct srv_row *s = srv_find(e, key, NULL);
+	struct emsg_datagram d;
+
+	if (in->failed || !s || !srv_set_leaving(e, s, start_ms))
+		return;
+	if (!from || from->region == e->region)
+		return;
+	put_leaving(e, &d, s);
+	emsg_send_to_peers(e, &d);
+}
+
 void emsg_send_trial(struct edge *e, const struct srv_row *s)
 {
 	struct emsg_datagram d;
@@ -351,6 +384,8 @@
 		on_summary(e, &in, sender);
 	else if (kind == EMSG_EJECTION)
 		on_ejection(e, &in, sender);
+	else if (kind == EMSG_LEAVING)
+		on_leaving(e, &in, sender);
 	else
 		on_server_message(e, &in, (enum emsg_kind)kind);
 	if (in.failed)
--- a/src/edge/edge_messages.h
+++ b/src/edge/edge_messages.h
@@ -18,6 +18,9 @@
 		       enum hlth_outcome outcome);
 /* Reports the ejection of a server of this region to the other regions. */
 void emsg_send_ejection(struct edge *e, const struct srv_row *s);
+/* Reports that a server said that it is leaving, to the peers and to the other
+ * regions. */
+void emsg_send_leaving(struct edge *e, const struct srv_row *s);
 /* Reports the start of a trial of a server to the peers. */
 void emsg_send_trial(struct edge *e, const struct srv_row *s);
 /* Reports this VM's requests in flight to the peers, with its counts of the
--- a/src/edge/edge_messages_internal.h
+++ b/src/edge/edge_messages_internal.h
@@ -27,7 +27,9 @@
 	EMSG_SUMMARY,
 	/* Ejection of a server of the sender's region; forwarded likewise. */
 	EMSG_EJECTION,
-	EMSG_LAST = EMSG_EJECTION,
+	/* A server said that it is leaving; forwarded likewise. */
+	EMSG_LEAVING,
+	EMSG_LAST = EMSG_LEAVING,
 };
 
 struct emsg_datagram {
--- a/src/edge/header_names.c
+++ b/src/edge/header_names.c
@@ -6,4 +6,5 @@
 	.expect_server = {"X-Expect-Server", 15},
 	.not_run = {"X-Not-Run", 9},
 	.response_signature = {NULL, 0},
+	.server_leaving = {"X-Server-Leaving", 16},
 };
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -21,6 +21,9 @@
 	struct str not_run;
 	/* In a response: signature of the backend server that generated it. */
 	struct str response_signature;
+	/* In a response: "1" if the backend server is leaving, so that it is to
+	 * get no more requests. */
+	struct str server_leaving;
 };
 
 /* Names of currantpaddle's own protocol, for use without a platform. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -26,6 +26,8 @@
 #define UNREACHABLE_BACKOFF_NS (1500 * NS_PER_MS)
 /* A queued request checks the load again after one to two of these periods. */
 #define QUEUE_RECHECK_NS (30 * NS_PER_MS)
+/* The same while all servers are busy. */
+#define BUSY_RECHECK_NS (150 * NS_PER_MS)
 /* Time after the start of a VM in which requests wait for the first
  * configuration, which usually arrives within half a second. */
 #define FIRST_CONF_WAIT_NS NS_PER_S
@@ -72,12 +74,14 @@
 
 /* 0 for a status without Retry-After. */
 static int64_t retry_after_ns(struct edge *e, int status,
-			      int64_t mean_latency_ns, uint32_t priority)
+			      int64_t mean_latency_ns,
+			      const struct req_row *req)
 {
 	struct admit_refusal r = {
 		.reason = ADMIT_NO_CAPACITY,
 		.mean_latency_ns = mean_latency_ns,
-		.priority = priority,
+		.priority = req ? req->priority : 0,
+		.busy_ns = req ? req->servers_busy_until_ns - e->ev.now_ns : 0,
 		.random_bits = edge_random(e),
 	};
 
@@ -100,9 +104,8 @@
 		status = 502;
 	if (r->service)
 		bud_count_failure(e, edge_service(e, r->service));
-	retry_after = retry_after_ns(e, status,
-				     r->service ? req_mean_latency_ns(e, r) : 0,
-				     r->priority);
+	retry_after = retry_after_ns(
+		e, status, r->service ? req_mean_latency_ns(e, r) : 0, r);
 	ctr_add(CTR_REFUSED, status == 503);
 	ctr_add(CTR_UNKNOWN, status == 502 || status == 504);
 	ctr_observe(CTR_REQUEST_DURATION, e->ev.now_ns - r->start_ns);
@@ -179,7 +182,8 @@
 			   LOGS_INT("version", e->conf ? e->conf->version : 0),
 		   },
 		   5);
-	cconn_respond(e, caller, status, why, retry_after_ns(e, status, 0, 0));
+	cconn_respond(e, caller, status, why,
+		      retry_after_ns(e, status, 0, NULL));
 	return HND_NONE;
 }
 
@@ -363,6 +367,14 @@
 	r->recheck_ns = until_ns;
 }
 
+/* A server may be reinstated or added before the first busy one is free. */
+static int64_t recheck_time(const struct edge *e, int64_t busy_until_ns)
+{
+	int64_t latest = e->ev.now_ns + BUSY_RECHECK_NS;
+
+	return busy_until_ns < latest ? busy_until_ns : latest;
+}
+
 void req_give_up(struct edge *e, struct req_row *r, const char *why)
 {
 	if (r->fallback_status) {
@@ -438,10 +450,11 @@
 	}
 	pick = pick_server(e, r, admit_max_load(&admission));
 	if (pick.result == PICK_FULL) {
-		enqueue(r, pick.full_until_ns);
+		enqueue(r, recheck_time(e, pick.busy_until_ns));
 		return;
 	}
 	if (pick.result == PICK_NONE) {
+		r->servers_busy_until_ns = pick.busy_until_ns;
 		req_give_up(e, r, "no backend server");
 		return;
 	}
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -1,15 +1,17 @@
 #include "state_codec.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "store_sync.h"
 
-#define STATE_FORMAT 1
+#define STATE_FORMAT 2
 #define CHANGE_FIELDS 12
 #define ROUTE_FIELDS 9
 #define SERVICE_FIELDS 3
-#define STATE_FIELDS 5
+#define STATE_FIELDS 6
 #define CONF_FIELDS 7
+#define LEAVING_FIELDS 2
 /* Bounds on the counts and lengths that a message may declare. */
 #define MAX_SERVERS 200000
 #define MAX_ROUTES 100000
@@ -23,6 +25,7 @@
 #define DEST_BYTES 16
 #define SERVICE_BYTES 128
 #define STATE_BYTES 256
+#define LEAVING_BYTES 20
 
 void codec_put_change(struct mpk_writer *out, const struct srv_change *change)
 {
@@ -194,7 +197,8 @@
 
 static size_t max_state_bytes(const struct edge *e)
 {
-	size_t size = STATE_BYTES + (size_t)e->servers.len * CHANGE_BYTES;
+	size_t size = STATE_BYTES +
+		      (size_t)e->servers.len * (CHANGE_BYTES + LEAVING_BYTES);
 	uint32_t i;
 
 	if (!e->conf)
@@ -211,6 +215,25 @@
 	return size;
 }
 
+/* Servers that said that they are leaving: key and start of each. */
+static void put_leaving(struct mpk_writer *out, const struct edge *e)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < e->servers.len; i++)
+		count += ((const struct srv_row *)tab_at(&e->servers, i))
+				 ->said_leaving;
+	mpk_put_array(out, count * LEAVING_FIELDS);
+	for (i = 0; i < e->servers.len; i++) {
+		const struct srv_row *s = tab_at(&e->servers, i);
+
+		if (!s->said_leaving)
+			continue;
+		mpk_put_uint(out, s->key);
+		mpk_put_int(out, s->leaving_start_ms);
+	}
+}
+
 void codec_write_state(const struct edge *e, uint64_t peer_config_version,
 		       struct strbuf *out)
 {
@@ -235,43 +258,110 @@
 		codec_fill_change(e, tab_at(&e->servers, i), &change);
 		codec_put_change(&w, &change);
 	}
+	put_leaving(&w, e);
 	out->len += size - w.left;
 }
 
-enum err codec_apply_state(struct edge *e, struct str bytes)
+/* A decoded state. The strings are views into its bytes. */
+struct state {
+	/* NULL if the state holds none. */
+	struct conf *conf;
+	uint64_t config_version;
+	uint64_t servers_version;
+	struct srv_change *servers;
+	uint32_t server_count;
+	/* See put_leaving(). */
+	uint64_t *leaving;
+	uint32_t leaving_count;
+};
+
+static void free_state(struct state *s)
+{
+	conf_free(s->conf);
+	free(s->servers);
+	free(s->leaving);
+}
+
+static bool get_servers(struct mpk_reader *in, struct state *s)
+{
+	uint32_t i;
+
+	s->server_count = mpk_get_array_len(in, MAX_SERVERS);
+	/* Each server takes at least one byte per field. */
+	if (in->failed || s->server_count > in->left / CHANGE_FIELDS)
+		return false;
+	s->servers = calloc(s->server_count + 1, sizeof(*s->servers));
+	for (i = 0; s->servers && i < s->server_count && !in->failed; i++)
+		codec_get_change(in, &s->servers[i]);
+	return s->servers && !in->failed;
+}
+
+static bool get_leaving(struct mpk_reader *in, struct state *s)
+{
+	uint32_t i, len = mpk_get_array_len(in, MAX_SERVERS * LEAVING_FIELDS);
+
+	if (in->failed || len % LEAVING_FIELDS || len > in->left)
+		return false;
+	s->leaving_count = len / LEAVING_FIELDS;
+	s->leaving = calloc(len + 1, sizeof(*s->leaving));
+	for (i = 0; s->leaving && i < len; i++)
+		s->leaving[i] = mpk_get_uint(
+			in, 0, i % LEAVING_FIELDS ? INT64_MAX : UINT64_MAX);
+	return s->leaving && !in->failed;
+}
+
+static bool get_state(struct str bytes, struct state *s)
 {
-	struct conf *conf = NULL;
-	uint64_t config_version, servers_version;
 	struct mpk_reader in;
-	uint32_t i, n;
 
 	mpk_reader_init(&in, bytes);
 	mpk_expect_array(&in, STATE_FIELDS);
-	if (mpk_get_uint(&in, STATE_FORMAT, STATE_FORMAT) != STATE_FORMAT)
-		return ERR_INVALID;
+	mpk_get_uint(&in, STATE_FORMAT, STATE_FORMAT);
 	if (!mpk_skip_nil(&in))
-		conf = get_conf(&in);
-	config_version = mpk_get_uint(&in, 0, UINT64_MAX);
-	servers_version = mpk_get_uint(&in, 0, UINT64_MAX);
-	n = mpk_get_array_len(&in, MAX_SERVERS);
-	if (in.failed) {
-		conf_free(conf);
-		return ERR_INVALID;
-	}
-	if (conf)
-		edge_set_conf(e, conf);
-	if (servers_version < e->sync.servers_version)
-		return ERR_OK;
+		s->conf = get_conf(&in);
+	s->config_version = mpk_get_uint(&in, 0, UINT64_MAX);
+	s->servers_version = mpk_get_uint(&in, 0, UINT64_MAX);
+	return !in.failed && get_servers(&in, s) && get_leaving(&in, s) &&
+	       !in.left;
+}
+
+static void apply_servers(struct edge *e, const struct state *s)
+{
+	uint32_t i;
+
 	e->read_generation++;
-	for (i = 0; i < n; i++) {
-		struct srv_change change;
+	for (i = 0; i < s->server_count; i++)
+		codec_apply_change(e, &s->servers[i]);
+	srv_finish_full_read(e, s->servers_version);
+	sync_set_versions(e, s->config_version, s->servers_version);
+}
+
+static void apply_leaving(struct edge *e, const struct state *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->leaving_count; i++) {
+		const uint64_t *entry = &s->leaving[(size_t)i * LEAVING_FIELDS];
+		struct srv_row *server = srv_find(e, entry[0], NULL);
+
+		if (server)
+			srv_set_leaving(e, server, (int64_t)entry[1]);
+	}
+}
+
+enum err codec_apply_state(struct edge *e, struct str bytes)
+{
+	struct state s = {.conf = NULL};
+	bool valid = get_state(bytes, &s);
 
-		codec_get_change(&in, &change);
-		if (in.failed)
-			return ERR_INVALID;
-		codec_apply_change(e, &change);
+	if (valid && s.conf) {
+		edge_set_conf(e, s.conf);
+		s.conf = NULL;
 	}
-	srv_finish_full_read(e, servers_version);
-	sync_set_versions(e, config_version, servers_version);
-	return ERR_OK;
+	if (valid && s.servers_version >= e->sync.servers_version)
+		apply_servers(e, &s);
+	if (valid)
+		apply_leaving(e, &s);
+	free_state(&s);
+	return valid ? ERR_OK : ERR_INVALID;
 }
--- a/src/edge/state_codec.h
+++ b/src/edge/state_codec.h
@@ -21,14 +21,15 @@
 
 /*
  * Writes the state of this VM: the configuration, unless the receiver has this
- * version or a newer one, and all servers.
+ * version or a newer one, all servers, and those that said that they are
+ * leaving.
  */
 void codec_write_state(const struct edge *e, uint64_t peer_config_version,
 		       struct strbuf *out);
 /*
  * Applies the configuration of a state if it is newer, and the servers unless
- * they are older. ERR_INVALID for malformed input: what precedes the fault may
- * have been applied, but no server becomes missing.
+ * they are older. Applies nothing and returns ERR_INVALID for malformed input,
+ * which includes bytes after the state.
  */
 enum err codec_apply_state(struct edge *e, struct str bytes);
 
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -87,6 +87,7 @@
 		.kind = kind,
 		.service = conf_service_key(FIX_SERVICE),
 		.max_attempts = 2,
+		.expires_ns = INT64_MAX,
 	};
 }
 
