--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -256,6 +256,9 @@
 	bool trial;
 	/* The server of the current attempt has accepted the request. */
 	bool accepted;
+	/* The current attempt was found slow, and the request went on
+	 * waiting. */
+	bool slow_checked;
 	/* The current attempt was reported as stalled. */
 	bool stall_reported;
 	/* The body is forwarded as it arrives; rules out a retry. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -472,6 +472,7 @@
 	r->state = REQ_CONNECTING;
 	r->connect_ns = e->ev.now_ns;
 	r->stall_reported = false;
+	r->slow_checked = false;
 	r->backend_conn = bconn_open(e, pick.server, h);
 	if (hnd_eq(r->backend_conn, HND_NONE))
 		req_connect_failed(e, h, "cannot open a socket");
--- a/src/edge/request_timeout.c
+++ b/src/edge/request_timeout.c
@@ -4,37 +4,50 @@
 #include "metrics.h"
 #include "edge_outlier_detection.h"
 #include "request_internal.h"
+#include "stalled_attempt.h"
 
 /* Shorter than 1 s, after which TCP retransmits a lost SYN. */
 #define CONNECT_TIMEOUT_NS (300 * NS_PER_MS)
-/* Age at which an attempt counts as stalled, as a multiple of the mean
- * latency. */
-#define STALL_MEAN_FACTOR 4
-#define STALL_MIN_NS (800 * NS_PER_MS)
 /* Longer than a round trip: a request whose connection was not reset by then
  * counts as accepted by its server. */
 #define ACCEPTED_AFTER_NS (30 * NS_PER_MS)
 
-static int64_t stall_age_ns(struct edge *e, const struct req_row *r)
+static struct stall_attempt make_attempt(struct edge *e,
+					 const struct req_row *r)
 {
-	int64_t age = req_mean_latency_ns(e, r) * STALL_MEAN_FACTOR;
+	return (struct stall_attempt){
+		.age_ns = e->ev.now_ns - r->sent_ns,
+		.mean_latency_ns = req_mean_latency_ns(e, r),
+		.repeatable = r->kind == CONF_SAFE,
+		.trial = r->trial,
+	};
+}
+
+/* The next age at which check_stall() has something to do; 0 for none. */
+static int64_t next_stall_age_ns(struct edge *e, const struct req_row *r)
+{
+	struct stall_attempt a = make_attempt(e, r);
 
-	return age > STALL_MIN_NS ? age : STALL_MIN_NS;
+	if (r->stall_reported)
+		return 0;
+	return r->slow_checked ? stall_age_ns(&a) : stall_slow_age_ns(&a);
 }
 
-/* Reports the stall, which ejects the server; the request keeps waiting unless
- * it can be retried. */
-static void on_stall(struct edge *e, struct hnd h)
+static void check_stall(struct edge *e, struct hnd h)
 {
 	struct req_row *r = req_get(e, h);
+	struct stall_attempt a = make_attempt(e, r);
+	struct svc_row *svc = edge_service(e, r->service);
 
-	req_report_outcome(e, r, HLTH_STALLED);
-	r->stall_reported = true;
-	req_log(e, r, "stalled", "", (e->ev.now_ns - r->sent_ns) / NS_PER_MS);
-	/* While many requests fail, a second run would occupy a slot that they
-	 * need. */
-	if (r->kind == CONF_SAFE &&
-	    bud_low_failure_rate(e, edge_service(e, r->service)))
+	r->slow_checked = true;
+	if (a.age_ns >= stall_age_ns(&a)) {
+		req_report_outcome(e, r, HLTH_STALLED);
+		r->stall_reported = true;
+		req_log(e, r, "stalled", "", a.age_ns / NS_PER_MS);
+	}
+	a.budget_ample = bud_allows_trial(e, svc);
+	a.budget_left = true;
+	if (stall_decide(&a) == STALL_RETRY)
 		req_retry_stalled(e, h);
 }
 
@@ -77,9 +90,9 @@
 		req_connect_failed(e, h, "connect timed out");
 	else if (r->state == REQ_QUEUED && now_ns >= r->recheck_ns)
 		req_dispatch(e, h);
-	else if (r->state == REQ_SENT && !r->stall_reported &&
-		 now_ns - r->sent_ns >= stall_age_ns(e, r))
-		on_stall(e, h);
+	else if (r->state == REQ_SENT && next_stall_age_ns(e, r) &&
+		 now_ns - r->sent_ns >= next_stall_age_ns(e, r))
+		check_stall(e, h);
 }
 
 void req_tick(struct edge *e, int64_t now_ns)
@@ -97,7 +110,7 @@
 
 	for (i = 0; i < e->requests.len; i++) {
 		const struct req_row *r = tab_at(&e->requests, i);
-		int64_t at = r->expires_ns;
+		int64_t at = r->expires_ns, stall_age;
 
 		if (r->state == REQ_DONE || r->state == REQ_RELAYING)
 			continue;
@@ -108,9 +121,11 @@
 			at = r->connect_ns + CONNECT_TIMEOUT_NS;
 		if (r->state == REQ_QUEUED && r->recheck_ns < at)
 			at = r->recheck_ns;
-		if (r->state == REQ_SENT && !r->stall_reported &&
-		    r->sent_ns + stall_age_ns((struct edge *)e, r) < at)
-			at = r->sent_ns + stall_age_ns((struct edge *)e, r);
+		stall_age = r->state == REQ_SENT
+				    ? next_stall_age_ns((struct edge *)e, r)
+				    : 0;
+		if (stall_age && r->sent_ns + stall_age < at)
+			at = r->sent_ns + stall_age;
 		if (at < due)
 			due = at;
 	}
