Tell hanging servers and dead paths by progress and acknowledgements

Cause: a server that hangs three quarters of its requests for a second or two was used until a request had waited for four times the mean latency; unsafe requests went to the busiest servers, which hanging ones are. A VM that did not reach a server held this against the server.

Change: backend_progress counts the responses that the requests in flight of the region should have brought, from the load reports; a server that owes three costs 300. Unsafe requests prefer servers that have just responded, safe ones those that were idle; while many requests fail, idle servers get trials by any kind. Connections have TCP_USER_TIMEOUT: bytes that are not acknowledged within 600 ms are a fault of the path, which this VM avoids for two seconds and more; several VMs must agree to eject the server.

--- a/src/edge/backend_load.c
+++ b/src/edge/backend_load.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "backend_progress.h"
 #include "edge_retry_budget.h"
 #include "edge_outlier_detection.h"
 #include "edge_membership.h"
@@ -49,6 +50,7 @@
 
 		if (!s)
 			continue;
+		prog_advance(e, s);
 		in_flight += sign * (int64_t)r->in_flight[i];
 		s->peers_in_flight = in_flight > 0 ? (uint32_t)in_flight : 0;
 	}
@@ -81,10 +83,27 @@
 	}
 }
 
+static void record_ended(struct edge *e, const struct load_report *before,
+			 const struct load_report *now)
+{
+	uint32_t i;
+
+	for (i = 0; i < before->count; i++) {
+		uint32_t left = in_flight_of(now, before->servers[i]);
+		struct srv_row *s = srv_find_short_key(e, before->servers[i]);
+
+		if (!s || left >= before->in_flight[i])
+			continue;
+		prog_advance(e, s);
+		prog_peer_ended(e, s, before->in_flight[i] - left);
+	}
+}
+
 void load_on_report(struct edge *e, struct vm_row *from,
 		    const struct load_report *r)
 {
 	record_accepted(e, &from->load, r);
+	record_ended(e, &from->load, r);
 	add_peers_in_flight(e, &from->load, -1);
 	from->load = *r;
 	from->load_report_ns = e->ev.now_ns;
--- /dev/null
+++ b/src/edge/backend_progress.c
@@ -0,0 +1,59 @@
+#include "backend_progress.h"
+
+/* Mean latency assumed before a service's first response. */
+#define INITIAL_LATENCY_NS (400 * NS_PER_MS)
+/* Expected completions without one at which a server becomes suspect, and those
+ * that a completion takes off: a server that works as usual exceeds the former
+ * in a few cases of a hundred. */
+#define SUSPECT_OWED 3.0
+#define COMPLETION_CREDIT 2.0
+/* Bound of what a server can owe, so that it recovers soon. */
+#define MAX_OWED 8.0
+
+static double owed_now(struct edge *e, const struct srv_row *s)
+{
+	int64_t mean = edge_service(e, s->service)->mean_latency_ns;
+	uint32_t busy = s->in_flight + s->peers_in_flight;
+	double owed;
+
+	/* Requests beyond the slots wait in the server's queue. */
+	if (busy > s->slots)
+		busy = s->slots;
+	owed = s->owed + (double)busy * (double)(e->ev.now_ns - s->owed_ns) /
+				 (double)(mean ? mean : INITIAL_LATENCY_NS);
+	return owed < MAX_OWED ? owed : MAX_OWED;
+}
+
+void prog_advance(struct edge *e, struct srv_row *s)
+{
+	s->owed = owed_now(e, s);
+	s->owed_ns = e->ev.now_ns;
+}
+
+void prog_completed(struct edge *e, struct srv_row *s, uint32_t count)
+{
+	double credit = COMPLETION_CREDIT * (double)count;
+
+	if (!count)
+		return;
+	s->last_completed_ns = e->ev.now_ns;
+	s->owed = s->owed > credit ? s->owed - credit : 0;
+}
+
+void prog_peer_failed(struct srv_row *s)
+{
+	s->peers_failed++;
+}
+
+void prog_peer_ended(struct edge *e, struct srv_row *s, uint32_t count)
+{
+	uint32_t failed = s->peers_failed < count ? s->peers_failed : count;
+
+	s->peers_failed -= failed;
+	prog_completed(e, s, count - failed);
+}
+
+bool prog_is_suspect(struct edge *e, const struct srv_row *s)
+{
+	return owed_now(e, s) >= SUSPECT_OWED;
+}
--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -106,6 +106,8 @@
 static void reset_health(struct srv_row *s)
 {
 	s->paused_until_ns = 0;
+	s->path_down_until_ns = 0;
+	s->path_failures = 0;
 	s->ejected = false;
 	s->score = 0;
 	s->trial_successes = 0;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -186,6 +186,14 @@
 	uint32_t idle_connections;
 	/* Requests of the peers, as they reported them. */
 	uint32_t peers_in_flight;
+	/* Completions that the requests in flight should have brought since the
+	 * last one, at owed_ns; see backend_progress.h. */
+	double owed;
+	int64_t owed_ns;
+	/* Last known response to a request of this region; 0 for none. */
+	int64_t last_completed_ns;
+	/* Requests of peers that failed and are still in their reports. */
+	uint32_t peers_failed;
 	/* Ejected by the VMs of its own region; set for servers of other
 	 * regions only. */
 	bool ejected_remotely;
@@ -195,6 +203,10 @@
 	/* Until then it wants no requests of this VM, not even trials; its
 	 * slots do not count as capacity. */
 	int64_t paused_until_ns;
+	/* The path from this VM to the server is taken to be down until then;
+	 * failures of the path since the last response. */
+	int64_t path_down_until_ns;
+	uint32_t path_failures;
 	/* Ejected from regular traffic by outlier detection; gets trial
 	 * requests only. */
 	bool ejected;
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "backend_progress.h"
 #include "metrics.h"
 #include "logs.h"
 #include "request.h"
@@ -24,6 +25,10 @@
  * thousandths: a request must not be sent on a connection that the server is
  * closing. */
 #define IDLE_SHARE_PERMILLE 700
+/* Time after which a connection counts as broken whose bytes the server's host
+ * does not acknowledge: the path to it is down, rather than the server. Longer
+ * than two retransmissions. */
+#define UNACKED_TIMEOUT_MS 600
 /* For servers that announce no idle timeout. */
 #define DEFAULT_IDLE_TIMEOUT_NS (4 * NS_PER_S)
 
@@ -48,6 +53,7 @@
 
 	if (!s)
 		return;
+	prog_advance(e, s);
 	s->in_flight = (uint32_t)((int)s->in_flight + in_flight);
 	s->idle_connections = (uint32_t)((int)s->idle_connections + idle);
 }
@@ -128,12 +134,14 @@
 
 static int start_connect(const struct sockaddr_in *addr)
 {
-	int one = 1;
+	int one = 1, unacked_ms = UNACKED_TIMEOUT_MS;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+		   sizeof(unacked_ms));
 	if (connect(fd, (const void *)addr, sizeof(*addr)) &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -248,14 +256,15 @@
 	in->len -= n;
 }
 
-static void fail_attempt(struct edge *e, struct bconn_row *c, const char *why)
+static void fail_attempt(struct edge *e, struct bconn_row *c,
+			 enum hlth_outcome outcome, const char *why)
 {
 	struct hnd req = c->req;
 	bool may_have_run = c->sent_bytes > 0;
 
 	close_connection(e, c);
 	ctr_add(CTR_BACKEND_CONNECTIONS_DROPPED, 1);
-	req_attempt_failed(e, req, why, may_have_run);
+	req_attempt_failed(e, req, outcome, why, may_have_run);
 }
 
 /* Releases the connection before the request evaluates the response. */
@@ -329,7 +338,7 @@
 	const char *fault;
 
 	if (!len && c->in.len > MAX_HEAD_BYTES) {
-		fail_attempt(e, c, "response head too large");
+		fail_attempt(e, c, HLTH_BROKEN, "response head too large");
 		return STEP_STOP;
 	}
 	if (!len)
@@ -340,7 +349,7 @@
 	fault = rsp_parse(&resp->rsp, strbuf_view(&resp->head),
 			  req_is_head_method(e, c->req));
 	if (fault) {
-		fail_attempt(e, c, fault);
+		fail_attempt(e, c, HLTH_BROKEN, fault);
 		return STEP_STOP;
 	}
 	s = tab_get(&e->servers, c->server);
@@ -385,7 +394,7 @@
 		return STEP_STOP;
 	consume(&c->in, used);
 	if (c->response.rsp.chunked && c->decoder.state == HBOD_MALFORMED) {
-		fail_attempt(e, c, "malformed chunks");
+		fail_attempt(e, c, HLTH_BROKEN, "malformed chunks");
 		return STEP_STOP;
 	}
 	if (!is_complete(c))
@@ -412,8 +421,9 @@
 	}
 }
 
-static void on_close(struct edge *e, struct hnd h, bool clean)
+static void on_close(struct edge *e, struct hnd h, int failure)
 {
+	bool clean = !failure;
 	struct bconn_row *c = get_row(e, h);
 
 	if (!c || c->state != BCONN_BUSY)
@@ -426,7 +436,20 @@
 		finish_response(e, c, h);
 		return;
 	}
-	fail_attempt(e, c, clean ? "connection closed" : "connection reset");
+	if (failure == ETIMEDOUT)
+		fail_attempt(e, c, HLTH_UNREACHED, "not acknowledged");
+	else
+		fail_attempt(e, c, HLTH_BROKEN,
+			     clean ? "connection closed" : "connection reset");
+}
+
+static int socket_error(int fd)
+{
+	socklen_t size = sizeof(int);
+	int failure = 0;
+
+	getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size);
+	return failure ? failure : ECONNRESET;
 }
 
 static void receive(struct edge *e, struct hnd h)
@@ -439,7 +462,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		on_close(e, h, !n);
+		on_close(e, h, n < 0 ? errno : 0);
 		return;
 	}
 	c->in.len += (size_t)n;
@@ -491,7 +514,7 @@
 	if (c && (events & EPOLLIN))
 		receive(e, h);
 	else if (c && (events & (EPOLLERR | EPOLLHUP)))
-		on_close(e, h, false);
+		on_close(e, h, socket_error(c->fd));
 }
 
 void bconn_resume(struct edge *e, struct hnd conn)
--- a/src/edge/edge_load_balancing.c
+++ b/src/edge/edge_load_balancing.c
@@ -1,5 +1,6 @@
 #include "edge_load_balancing.h"
 
+#include "backend_progress.h"
 #include "edge_retry_budget.h"
 #include "edge_outlier_detection.h"
 #include "backend_load.h"
@@ -18,9 +19,13 @@
 #define CONNECT_COST 40
 /* Load up to which a server costs little. */
 #define FREE_LOAD_PERMILLE 800
-/* Cost of an idle server to a request that is not safe: whether it accepts
- * requests is not known. */
-#define IDLE_SERVER_COST 80
+/* Cost to a request that is not safe of a server whose last response is that
+ * long ago; less for a more recent one. Of the servers that no one has tried
+ * lately, up to three in ten fail three quarters of their requests. */
+#define UNPROVEN_COST 220
+#define UNPROVEN_NS (2 * NS_PER_S)
+/* Gain of sending a safe request to such a server. */
+#define IDLE_BONUS 120
 /* Cost of the last free slot, beyond FREE_LOAD_PERMILLE: some servers slow
  * down when all slots are in use. */
 #define NEARLY_FULL_COST 150
@@ -28,6 +33,9 @@
 #define QUEUE_COST 450
 /* A server in slow start works at half its speed. */
 #define SLOW_START_COST 300
+/* Cost of a server that this VM does not reach: higher than that of any
+ * distance. */
+#define PATH_DOWN_COST 50000
 /* Cost of a server at max_load or above, which would not be sent the request;
  * higher than that of any distance. */
 #define OVERLOAD_COST 100000
@@ -36,6 +44,8 @@
 #define EJECTED_COST 200000
 #define OLD_EJECTED_COST 50000
 #define OLD_EJECTED_NS NS_PER_S
+/* Cost of a server that probably hangs: more than that of another zone. */
+#define SUSPECT_COST 300
 /* Random part of the cost, so that VMs with the same view choose different
  * servers. */
 #define JITTER_COST 30
@@ -69,15 +79,27 @@
 	return kb * REGION_COST_PER_KB;
 }
 
+/*
+ * A request that may run only once is lost at a server that has just become
+ * faulty, so it prefers those that have just responded to others. Safe requests
+ * prefer the others: they find out how these are, and capacity that is unused
+ * for two seconds counts as taken out of service.
+ */
+static int64_t unproven_cost(const struct choice *ch, const struct srv_row *s)
+{
+	bool safe = ch->req->kind == CONF_SAFE;
+	int64_t last = safe ? s->last_accepted_ns : s->last_completed_ns;
+	int64_t age = ch->e->ev.now_ns - last;
+
+	if (age > UNPROVEN_NS)
+		age = UNPROVEN_NS;
+	return (safe ? -IDLE_BONUS : UNPROVEN_COST) * age / UNPROVEN_NS;
+}
+
 static int64_t load_cost(const struct choice *ch, const struct srv_row *s)
 {
 	int64_t load = load_permille(ch->e, s);
 
-	/* Requests that are not safe prefer servers in use, which have just
-	 * accepted other requests; safe requests go to idle servers. */
-	if (load <= FREE_LOAD_PERMILLE && ch->req->kind != CONF_SAFE)
-		return (FREE_LOAD_PERMILLE - load) * IDLE_SERVER_COST /
-		       FREE_LOAD_PERMILLE;
 	if (load <= FREE_LOAD_PERMILLE)
 		return load * JITTER_COST / FREE_LOAD_PERMILLE;
 	if (load < 1000)
@@ -88,7 +110,8 @@
 
 static int64_t cost(const struct choice *ch, const struct srv_row *s)
 {
-	int64_t c = distance_cost(ch, s) + load_cost(ch, s);
+	int64_t c =
+		distance_cost(ch, s) + load_cost(ch, s) + unproven_cost(ch, s);
 
 	if (!s->idle_connections)
 		c += CONNECT_COST;
@@ -96,6 +119,12 @@
 		c += SLOW_START_COST;
 	if (load_permille(ch->e, s) >= ch->max_load)
 		c += OVERLOAD_COST;
+	if (hlth_path_is_down(ch->e, s))
+		c += PATH_DOWN_COST;
+	else if (s->path_failures && ch->req->kind != CONF_SAFE)
+		c += SUSPECT_COST;
+	if (prog_is_suspect(ch->e, s))
+		c += SUSPECT_COST;
 	if (hlth_is_ejected(ch->e, s))
 		c += ch->e->ev.now_ns - s->last_trial_ns > OLD_EJECTED_NS
 			     ? OLD_EJECTED_COST
@@ -183,6 +212,7 @@
 	     s = srv_next(ch->e, s, &h)) {
 		if (s->state != SRV_READY || s->region != ch->e->region ||
 		    srv_is_paused(ch->e, s) || was_tried(ch->req, s->key) ||
+		    hlth_path_is_down(ch->e, s) ||
 		    !hlth_trial_due(ch->e, s, ch->req->kind,
 				    low_failure_rate) ||
 		    (!s->ejected && load_permille(ch->e, s) >= 1000))
--- a/src/edge/edge_outlier_detection.c
+++ b/src/edge/edge_outlier_detection.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 
+#include "backend_progress.h"
 #include "edge_retry_budget.h"
 #include "metrics.h"
 #include "logs.h"
@@ -36,6 +37,10 @@
 #define IDLE_TRIAL_NS (1400 * NS_PER_MS)
 /* A service counts as having safe requests for this long after its last one. */
 #define SAFE_TRAFFIC_NS (10 * NS_PER_S)
+/* Time for which a VM avoids a server that it does not reach; it doubles with
+ * each further failure, at most that often. */
+#define PATH_DOWN_NS (2 * NS_PER_S)
+#define MAX_PATH_DOUBLINGS 2
 /* Servers that a VM discovers this soon after its start do not count as new. */
 #define STARTUP_NS (5 * NS_PER_S)
 /* Time for which a VM avoids a server of another region that it ejected. */
@@ -46,9 +51,13 @@
 	/* Added to the failure score. */
 	double weight;
 } outcomes[HLTH_OUTCOMES] = {
-	[HLTH_SUCCESS] = {"success", 0}, [HLTH_ERROR] = {"error", 0.45},
-	[HLTH_BROKEN] = {"broken", 1.0}, [HLTH_STALLED] = {"stalled", 1.0},
-	[HLTH_FULL] = {"full", 0},	 [HLTH_REPLACED] = {"replaced", 1.0},
+	[HLTH_SUCCESS] = {"success", 0},
+	[HLTH_ERROR] = {"error", 0.45},
+	[HLTH_BROKEN] = {"broken", 1.0},
+	[HLTH_STALLED] = {"stalled", 1.0},
+	[HLTH_UNREACHED] = {"unreached", 0.35},
+	[HLTH_FULL] = {"full", 0},
+	[HLTH_REPLACED] = {"replaced", 1.0},
 };
 
 const char *hlth_outcome_name(enum hlth_outcome outcome)
@@ -91,6 +100,30 @@
 		s->last_accepted_ns = at_ns;
 }
 
+/* Paths of other VMs to the server may be up: the server is ejected only if
+ * several VMs report the same. */
+static void record_unreached(struct edge *e, struct srv_row *s)
+{
+	int64_t down = PATH_DOWN_NS << (s->path_failures < MAX_PATH_DOUBLINGS
+						? s->path_failures
+						: MAX_PATH_DOUBLINGS);
+
+	s->path_failures++;
+	s->path_down_until_ns = e->ev.now_ns + down;
+	logs_event(LOGS_INFO, "path_down",
+		   (struct logs_field[]){
+			   LOGS_STR("server", str_from(s->id)),
+			   LOGS_INT("ms", down / NS_PER_MS),
+			   LOGS_INT("failures", s->path_failures),
+		   },
+		   3);
+}
+
+bool hlth_path_is_down(const struct edge *e, const struct srv_row *s)
+{
+	return e->ev.now_ns < s->path_down_until_ns;
+}
+
 static void record_failure(struct edge *e, struct srv_row *s,
 			   enum hlth_outcome outcome, bool own)
 {
@@ -130,6 +163,10 @@
 {
 	uint32_t needed;
 
+	if (own) {
+		s->path_failures = 0;
+		s->path_down_until_ns = 0;
+	}
 	decay(e, s);
 	if (!s->ejected) {
 		s->score = s->score > SUCCESS_CREDIT ? s->score - SUCCESS_CREDIT
@@ -158,6 +195,8 @@
 
 	if (outcome == HLTH_FULL)
 		return;
+	if (outcome == HLTH_UNREACHED)
+		record_unreached(e, s);
 	if (outcome == HLTH_SUCCESS)
 		record_success(e, s, true);
 	else
@@ -170,6 +209,9 @@
 void hlth_record_peer_outcome(struct edge *e, struct srv_row *s,
 			      enum hlth_outcome outcome)
 {
+	if (outcome == HLTH_STALLED || outcome == HLTH_BROKEN ||
+	    outcome == HLTH_UNREACHED)
+		prog_peer_failed(s);
 	if (outcome == HLTH_SUCCESS)
 		record_success(e, s, false);
 	else
@@ -199,7 +241,9 @@
 }
 
 /* True when the service has safe requests. They reach idle servers by load
- * balancing and ejected ones as trials, so other requests need not do so. */
+ * balancing and ejected ones as trials, so other requests need not do so,
+ * unless many requests fail: then the trials of ejected servers take most of
+ * the safe ones. */
 static bool has_safe_traffic(const struct edge *e, const struct srv_row *s)
 {
 	const struct svc_row *svc = edge_service((struct edge *)e, s->service);
@@ -245,7 +289,7 @@
 			       trial_interval(s, kind, low_failure_rate);
 	if (s->last_accepted_ns)
 		return now - s->last_accepted_ns > IDLE_TRIAL_NS &&
-		       !has_safe_traffic(e, s);
+		       (!low_failure_rate || !has_safe_traffic(e, s));
 	/* No VM is known to have used the server yet. */
 	if (kind == CONF_SAFE)
 		return true;
--- a/src/edge/edge_outlier_detection.h
+++ b/src/edge/edge_outlier_detection.h
@@ -26,6 +26,9 @@
 	HLTH_FULL,
 	/* Another server responds at the address. */
 	HLTH_REPLACED,
+	/* The server's host did not acknowledge the request: the path from this
+	 * VM to it is down, or the host is. */
+	HLTH_UNREACHED,
 	HLTH_OUTCOMES,
 };
 
@@ -41,6 +44,8 @@
 void hlth_record_peer_trial(struct edge *e, struct srv_row *s);
 /* True when the server is to get no regular traffic from this VM. */
 bool hlth_is_ejected(const struct edge *e, const struct srv_row *s);
+/* True while this VM's path to the server is taken to be down. */
+bool hlth_path_is_down(const struct edge *e, const struct srv_row *s);
 /* Records that the server accepted a request at that time, which ends its idle
  * time. */
 void hlth_record_accepted(struct srv_row *s, int64_t at_ns);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -3,6 +3,7 @@
 
 #include "edge.h"
 #include "edge_backend_connection.h"
+#include "edge_outlier_detection.h"
 
 /*
  * Requests in flight: which backend server each one is sent to, when it is
@@ -48,8 +49,10 @@
 /* Returns the bytes not yet written to the caller's connection. */
 size_t req_stream_data(struct edge *e, struct hnd req, struct str data);
 void req_stream_end(struct edge *e, struct hnd req);
-/* The connection failed, or an invalid response was received. */
-void req_attempt_failed(struct edge *e, struct hnd req, const char *why,
+/* The connection failed, or an invalid response was received; outcome says
+ * which, for outlier detection. */
+void req_attempt_failed(struct edge *e, struct hnd req,
+			enum hlth_outcome outcome, const char *why,
 			bool may_have_run);
 
 /* Handles timeouts, and requests that wait for capacity or for the first
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -1,5 +1,6 @@
 #include "request.h"
 
+#include "backend_progress.h"
 #include "edge_retry_budget.h"
 #include "edge_caller_connection.h"
 #include "metrics.h"
@@ -132,6 +133,16 @@
 		req_refuse(e, req_get(e, h), 503, "backend server has no room");
 }
 
+static void record_completion(struct edge *e, const struct req_row *r)
+{
+	struct srv_row *s = tab_get(&e->servers, r->server);
+
+	if (!s)
+		return;
+	prog_advance(e, s);
+	prog_completed(e, s, 1);
+}
+
 static void save_error_response(struct req_row *r,
 				const struct bconn_response *resp)
 {
@@ -183,6 +194,7 @@
 		return;
 	}
 	r->may_have_run = true;
+	record_completion(e, r);
 	fault = check_success_fields(e, r, &resp->rsp);
 	if (fault || status_means_not_run(resp->rsp.status)) {
 		req_report_outcome(e, r, HLTH_BROKEN);
@@ -255,8 +267,8 @@
 	cconn_end_response(e, caller);
 }
 
-void req_attempt_failed(struct edge *e, struct hnd h, const char *why,
-			bool may_have_run)
+void req_attempt_failed(struct edge *e, struct hnd h, enum hlth_outcome outcome,
+			const char *why, bool may_have_run)
 {
 	struct req_row *r = req_get(e, h);
 
@@ -265,7 +277,7 @@
 	r->backend_conn = HND_NONE;
 	r->may_have_run |= may_have_run;
 	req_log(e, r, "broken", why, may_have_run);
-	req_report_outcome(e, r, HLTH_BROKEN);
+	req_report_outcome(e, r, outcome);
 	if (r->state == REQ_RELAYING) {
 		struct hnd caller = r->caller;
 
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -199,8 +199,17 @@
 		int age_ms;
 		bool used;
 		bool trial;
+		/* The service has safe requests, and many of its requests
+		 * fail. */
+		bool safe_traffic;
+		bool failures;
 	} cases[] = {
 		{"in use", CONF_UNSAFE, 1000, true, false},
+		{"idle, safe traffic", CONF_UNSAFE, 1500, true, false, true},
+		/* Trials of ejected servers took the safe requests
+		 * (bakaisa-return-grown trouble-1, FLOOR at 14 s). */
+		{"idle, safe traffic, failures", CONF_UNSAFE, 1500, true, true,
+		 true, true},
 		{"idle", CONF_UNSAFE, 1500, true, true},
 		{"idle, uploads only", CONF_UPLOAD, 1500, true, true},
 		{"new, safe request", CONF_SAFE, 100, false, true},
@@ -214,6 +223,7 @@
 	(void)state;
 	for (i = 0; i < COUNT(cases); i++) {
 		struct req_row r = fix_request(cases[i].kind);
+		struct svc_row *svc;
 		struct srv_row *s;
 		struct pick p;
 
@@ -225,6 +235,12 @@
 		s->slow_start_until_ns = e.ev.now_ns + 10 * NS_PER_S;
 		fix_advance(&e, cases[i].age_ms * NS_PER_MS);
 		server_at(0)->last_accepted_ns = e.ev.now_ns;
+		svc = edge_service(&e, r.service);
+		if (cases[i].safe_traffic)
+			svc->last_safe_ns = e.ev.now_ns;
+		bud_count_request(&e, svc);
+		if (cases[i].failures)
+			bud_count_failure(&e, svc);
 		p = pick_server(&e, &r, UINT32_MAX);
 		if ((p.trial && tab_get(&e.servers, p.server) == s) !=
 		    cases[i].trial)
