Skip odd rows of the servers' table whole, and ids that no header can hold

The row's key goes into Expect-Instance unchecked: a key with line ends added header fields to callers' requests, and one of more than 71 bytes was cut. A full read took a server out of use whose row another writer had damaged, a read of changes did not; a page of unreadable rows was read for ever.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,6 +16,7 @@
 	http) echo 400000 ;;
 	entry_settings) echo 60000 ;;
 	peer_codec) echo 400000 ;;
+	edge_decoders) echo 100000 ;;
 	*) echo 10000 ;;
 	esac
 }
--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -1,5 +1,6 @@
 #include "backend_server.h"
 
+#include <ctype.h>
 #include <string.h>
 
 #include "logs.h"
@@ -8,6 +9,19 @@
  * register again; servers without a row are kept for as long. */
 #define REREGISTER_NS (2200 * NS_PER_MS)
 
+bool srv_is_valid_id(struct str id)
+{
+	size_t i;
+
+	for (i = 0; i < id.len; i++) {
+		unsigned char c = (unsigned char)id.ptr[i];
+
+		if (!isalnum(c) && (!c || !strchr("-._:@+~", c)))
+			return false;
+	}
+	return id.len && id.len < EDGE_ID_BYTES;
+}
+
 struct srv_row *srv_find(struct edge *e, uint64_t key, struct hnd *handle)
 {
 	struct hnd h = idx_get(&e->server_by_key, key);
@@ -232,6 +246,14 @@
 	start_removal(e, s);
 }
 
+void srv_keep(struct edge *e, struct str id)
+{
+	struct srv_row *s = srv_find(e, edge_key(id), NULL);
+
+	if (s)
+		s->read_generation = e->read_generation;
+}
+
 void srv_set_replaced(struct edge *e, struct srv_row *s)
 {
 	s->state = SRV_GONE;
--- a/src/edge/backend_server.h
+++ b/src/edge/backend_server.h
@@ -3,10 +3,16 @@
 
 #include "edge.h"
 
+/* True for an id that messages and header fields can hold: letters, digits and
+ * some punctuation, at most EDGE_ID_BYTES - 1 of them. */
+bool srv_is_valid_id(struct str id);
 /* Adds or updates a server; ignores a version older than the known one. */
 void srv_update(struct edge *e, const struct srv_report *r);
 /* Records that the store has not listed the server since that version. */
 void srv_set_missing(struct edge *e, struct str id, uint64_t version);
+/* Records that the current full read lists the server, although its row cannot
+ * be read; does nothing for an unknown one. */
+void srv_keep(struct edge *e, struct str id);
 /* Ends a full read as of a version: servers that it did not list are missing.
  */
 void srv_finish_full_read(struct edge *e, uint64_t version);
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -67,6 +67,8 @@
 	r->start_time_ms = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
 	r->slow_start_left_ns =
 		(int64_t)mpk_get_uint(in, 0, UINT32_MAX) * NS_PER_MS;
+	if (!srv_is_valid_id(r->id))
+		in->failed = true;
 }
 
 void codec_fill_change(const struct edge *e, const struct srv_row *s,
