Bound responses without end; refuse ambiguous, malformed and oversized requests

Cause, each shown on the code before by it_server_faults or a unit test: a relayed response had no time limit and informational or foreign responses no bound; a Content-Length beyond 63 bits was taken as none; a 503 "not run" without an id, late on a connection in use again, made a request run twice; the second of two requests in one segment got 408 after 3 s; /safe/../unsafe/x was routed as safe; Deadline-Ms -5 was ignored; bytes that are no HTTP waited for the head's time limit; HEAD got a Content-Length of 0; a body that stops after the response kept its connection; chunked bodies had no size limit; a notice of 15 rows with long ids was dropped without a log line.

Change: a relayed response ends at the request's time limit by a reset; 1 MB of bytes that are not passed on breaks the connection; a response without an id counts only on a connection that no other request has used. A request is routed only if its path, as a server reads it, is of the same route. Notices are split until they fit.

--- a/scripts/edge.sh
+++ b/scripts/edge.sh
@@ -120,14 +120,15 @@
 }
 
 request_id=0
-# Sets $status and writes the response to $dir/head and $dir/body.
+# Sets $status from a request with a deadline of $deadline_ms, 5000 if unset, and
+# writes the response to $dir/head and $dir/body.
 send_request() { # VM PATH CURL-OPTIONS...
 	local vm=$1 path=$2
 	shift 2
 	request_id=$((request_id + 1))
 	status=$(curl -s -m 8 -o "$dir/body" -D "$dir/head" \
 		-w '%{http_code}' -H 'Host: h.example' \
-		-H "Request-Id: q$request_id" -H 'Deadline-Ms: 5000' "$@" \
+		-H "Request-Id: q$request_id" -H "Deadline-Ms: ${deadline_ms:-5000}" "$@" \
 		"http://127.21.2.$vm:$port$path")
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -9,6 +9,7 @@
 
 #include "edge_http_client.h"
 #include "edge_caller_connection.h"
+#include "edge_listeners.h"
 #include "exit_codes.h"
 #include "edge_backend_connection.h"
 #include "backend_load.h"
@@ -129,6 +130,7 @@
 	call_tick(e, now_ns);
 	srv_tick(e, now_ns);
 	req_tick(e, now_ns);
+	cconn_tick(e);
 	req_sweep(e);
 	bconn_sweep(e);
 	cconn_sweep(e);
@@ -139,7 +141,7 @@
 	if (!e->leaving)
 		return;
 	if (!edge_accepts_requests(e))
-		cconn_stop_accepting(e);
+		lsn_stop_accepting();
 	if (is_drained(e))
 		e->ev.stop = true;
 }
@@ -150,6 +152,8 @@
 	int64_t due = req_next_due(e);
 	int64_t other = srv_next_due(e);
 
+	if (e->caller_input_pending)
+		return e->ev.now_ns;
 	if (other < due)
 		due = other;
 	other = call_next_due(e);
@@ -249,6 +253,7 @@
 static void release(struct edge *e)
 {
 	e->ops.stop(e->ops.ctx);
+	lsn_stop();
 	cconn_stop(e);
 	bconn_stop(e);
 	req_sweep(e);
@@ -280,7 +285,8 @@
 					     .fire = expire,
 					     .ctx = e,
 				     });
-	if (cconn_start(e) || emsg_start(e))
+	cconn_start(e);
+	if (lsn_start(e) || emsg_start(e))
 		return ERR_IO;
 	load_start(e);
 	return e->ops.start(e->ops.ctx);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -396,6 +396,8 @@
 	struct tab requests;
 	/* Connections of callers. */
 	struct tab caller_conns;
+	/* One of them may hold a further request; see cconn_tick(). */
+	bool caller_input_pending;
 	/* Connections to backend servers. */
 	struct tab backend_conns;
 	struct tab vms;
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -18,6 +18,9 @@
 /* A response with a body up to this size is passed to the caller only when it
  * is complete. */
 #define RESPONSE_BUFFER_BYTES 65536
+/* Bytes of responses that are not passed on, after which a server counts as
+ * broken. */
+#define MAX_DISCARDED_BYTES 1048576
 /* Unsent bytes of a relayed response above which reading from the server
  * pauses. */
 #define MAX_UNSENT_RESPONSE_BYTES 262144
@@ -95,6 +98,7 @@
 	c->request_complete = false;
 	c->head_done = false;
 	c->skip_response = false;
+	c->discarded = 0;
 	c->streaming = false;
 	c->reading_paused = false;
 }
@@ -161,6 +165,7 @@
 	if (c) {
 		update_server_counts(e, c, 1, -1);
 		c->state = BCONN_BUSY;
+		c->used_before = true;
 		reset_for_request(c, req);
 		return h;
 	}
@@ -330,10 +335,20 @@
 	STEP_STOP,
 };
 
+static enum parse_step discard(struct edge *e, struct bconn_row *c, size_t len)
+{
+	c->discarded += len;
+	if (c->discarded <= MAX_DISCARDED_BYTES)
+		return STEP_NEXT;
+	fail_attempt(e, c, HLTH_BROKEN, "bytes without end");
+	return STEP_STOP;
+}
+
 static enum parse_step parse_head(struct edge *e, struct bconn_row *c)
 {
 	size_t len = hreq_head_len(strbuf_view(&c->in));
 	struct bconn_response *resp = &c->response;
+	enum req_match match;
 	struct srv_row *s;
 	const char *fault;
 
@@ -356,9 +371,14 @@
 	if (s)
 		sig_on_response(e, s, &resp->rsp);
 	if (resp->rsp.status / 100 == 1)
-		return STEP_NEXT;
+		return discard(e, c, len);
+	match = req_match_response(e, c->req, &resp->rsp, c->used_before);
+	if (match == REQ_MATCH_UNKNOWN) {
+		fail_attempt(e, c, HLTH_BROKEN, "response without an id");
+		return STEP_STOP;
+	}
 	c->head_done = true;
-	c->skip_response = !req_matches_response(e, c->req, &resp->rsp);
+	c->skip_response = match == REQ_MATCH_OTHER;
 	c->no_reuse |= c->skip_response;
 	c->body_left = resp->rsp.length > 0 ? (uint64_t)resp->rsp.length : 0;
 	if (resp->rsp.chunked)
@@ -397,6 +417,8 @@
 		fail_attempt(e, c, HLTH_BROKEN, "malformed chunks");
 		return STEP_STOP;
 	}
+	if (c->skip_response && discard(e, c, used) == STEP_STOP)
+		return STEP_STOP;
 	if (!is_complete(c))
 		return used && c->in.len ? STEP_NEXT : STEP_WAIT;
 	if (!c->skip_response) {
--- a/src/edge/edge_backend_connection.h
+++ b/src/edge/edge_backend_connection.h
@@ -46,8 +46,13 @@
 	int64_t idle_timeout_ns;
 	/* The head of the response being received is parsed. */
 	bool head_done;
+	/* Responses that the connection has carried before. */
+	bool used_before;
 	/* The response belongs to another request and is discarded. */
 	bool skip_response;
+	/* Bytes of such responses and of informational ones since the request
+	 * was sent. */
+	size_t discarded;
 	/* The response body is relayed to the caller as it arrives. */
 	bool streaming;
 	struct bconn_response response;
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -12,9 +12,6 @@
 #include "logs.h"
 #include "request.h"
 
-#define LISTEN_BACKLOG 1024
-/* Accepted per event, so that new connections do not delay open ones. */
-#define ACCEPT_BATCH 32
 #define RECV_BYTES 32768
 /* Reading pauses when pipelined requests fill this many bytes. */
 #define MAX_PIPELINED_BYTES 65536
@@ -28,8 +25,6 @@
 #define DEFAULT_IDLE_TIMEOUT_NS (15 * NS_PER_S)
 #define DEFAULT_HEAD_TIMEOUT_NS (3 * NS_PER_S)
 
-static int listeners[EDGE_LISTENER_CONTROL + 1] = {-1, -1, -1, -1};
-
 /* NULL if the connection is closed. */
 static struct cconn_row *get_row(struct edge *e, struct hnd h)
 {
@@ -111,6 +106,9 @@
 	c->state_since_ns = e->ev.now_ns;
 	if (c->state == CCONN_RESPONDING)
 		c->state = CCONN_READING_HEAD;
+	/* A further request may have arrived with the last one. */
+	c->input_pending = c->in.len > 0;
+	e->caller_input_pending |= c->input_pending;
 	send_pending(e, c, h);
 }
 
@@ -188,10 +186,10 @@
 	strbuf_addf(&c->out, "HTTP/1.1 %d %.*s\r\n", status, STR_FMT(phrase));
 	strbuf_add(&c->out, fields);
 	add_connection_field(e, c);
-	c->chunked_response = length < 0;
-	if (length < 0)
+	c->chunked_response = length == CCONN_CHUNKED;
+	if (c->chunked_response)
 		strbuf_add(&c->out, STR("Transfer-Encoding: chunked\r\n\r\n"));
-	else if (status == 204 || status == 304)
+	else if (status == 204 || status == 304 || length == CCONN_NO_LENGTH)
 		strbuf_add(&c->out, STR("\r\n"));
 	else
 		strbuf_addf(&c->out, "Content-Length: %lld\r\n\r\n",
@@ -303,8 +301,11 @@
 	size_t len = hreq_head_len(strbuf_view(&c->in));
 	const char *fault;
 
-	if (!len && c->in.len <= max_head_bytes_of(e))
+	if (!len && c->in.len <= max_head_bytes_of(e)) {
+		if (!hreq_may_be_request(strbuf_view(&c->in)))
+			reject_and_close(e, c, h, 400, "not HTTP");
 		return false;
+	}
 	if (!len || len > max_head_bytes_of(e)) {
 		reject_and_close(e, c, h, 431, "head too large");
 		return false;
@@ -322,6 +323,7 @@
 		strbuf_add(&c->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
 	c->keep_alive = head.keep_alive;
 	c->response_done = false;
+	c->body_bytes = 0;
 	c->state = CCONN_READING_BODY;
 	hbod_init(&c->body, &head);
 	if (c->listener == EDGE_LISTENER_CALLERS) {
@@ -337,6 +339,17 @@
 	return !c->closed;
 }
 
+static void reject_body(struct edge *e, struct cconn_row *c, struct hnd h,
+			int status, const char *reason)
+{
+	struct hnd req = c->req;
+
+	c->req = HND_NONE;
+	if (!c->response_done)
+		req_cancel(e, req, reason);
+	reject_and_close(e, c, h, status, reason);
+}
+
 /* True when the body is complete. */
 static bool decode_body(struct edge *e, struct cconn_row *c, struct hnd h)
 {
@@ -349,6 +362,7 @@
 		struct str data = STR_NONE;
 
 		used += hbod_decode(&c->body, rest, &data);
+		c->body_bytes += data.len;
 		if (data.len && !c->response_done)
 			more = req_body_received(e, c->req, data, false);
 	}
@@ -357,12 +371,11 @@
 	if (used)
 		consume(&c->in, used);
 	if (c->body.state == HBOD_MALFORMED) {
-		struct hnd req = c->req;
-
-		c->req = HND_NONE;
-		if (!c->response_done)
-			req_cancel(e, req, "malformed body");
-		reject_and_close(e, c, h, 400, "malformed body");
+		reject_body(e, c, h, 400, "malformed body");
+		return false;
+	}
+	if (e->conf && c->body_bytes > e->conf->limits.max_body_bytes) {
+		reject_body(e, c, h, 413, "body too large");
 		return false;
 	}
 	c->body_paused = !more;
@@ -390,6 +403,23 @@
 		send_pending(e, c, h);
 }
 
+void cconn_tick(struct edge *e)
+{
+	uint32_t i;
+
+	if (!e->caller_input_pending)
+		return;
+	e->caller_input_pending = false;
+	for (i = 0; i < e->caller_conns.len; i++) {
+		struct cconn_row *c = tab_at(&e->caller_conns, i);
+
+		if (c->closed || !c->input_pending)
+			continue;
+		c->input_pending = false;
+		process_input(e, c, tab_handle(&e->caller_conns, i));
+	}
+}
+
 void cconn_resume(struct edge *e, struct hnd caller)
 {
 	struct cconn_row *c = get_row(e, caller);
@@ -446,7 +476,7 @@
 		process_input(e, c, h);
 }
 
-static void add_caller(struct edge *e, enum edge_listener listener, int fd)
+void cconn_add(struct edge *e, enum edge_listener listener, int fd)
 {
 	struct cconn_row *c;
 	struct hnd h;
@@ -467,66 +497,9 @@
 		close_connection(e, c, "epoll registration failed");
 }
 
-static void on_listener_event(void *ctx, struct hnd h, uint32_t events)
+void cconn_start(struct edge *e)
 {
-	enum edge_listener listener = (enum edge_listener)h.slot;
-	struct edge *e = ctx;
-	int i;
-
-	for (i = 0; i < ACCEPT_BATCH && listeners[listener] >= 0; i++) {
-		int fd = accept4(listeners[listener], NULL, NULL,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (fd < 0 && (errno == EMFILE || errno == ENFILE))
-			logs_msg(LOGS_WARNING, "accept",
-				 "cannot accept a connection: out of file "
-				 "descriptors");
-		if (fd < 0)
-			return;
-		add_caller(e, listener, fd);
-	}
-}
-
-static enum err listen_on(struct edge *e, enum edge_listener listener,
-			  const struct sockaddr_in *addr)
-{
-	int one = 1, fd;
-
-	if (!addr->sin_port)
-		return ERR_OK;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return ERR_IO;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	listeners[listener] = fd;
-	if (bind(fd, (const void *)addr, sizeof(*addr)) ||
-	    listen(fd, LISTEN_BACKLOG)) {
-		logs_msg(LOGS_ERROR, "listen", "cannot listen on port %d: %s",
-			 ntohs(addr->sin_port), strerror(errno));
-		return ERR_IO;
-	}
-	return ev_add(&e->ev, fd, EV_LISTEN, (struct hnd){listener, 1},
-		      EPOLLIN);
-}
-
-enum err cconn_start(struct edge *e)
-{
-	ev_set_handler(&e->ev, EV_LISTEN, on_listener_event, e);
 	ev_set_handler(&e->ev, EV_CALLER_CONN, on_socket_event, e);
-	if (listen_on(e, EDGE_LISTENER_CALLERS, &e->settings.callers) ||
-	    listen_on(e, EDGE_LISTENER_READY, &e->settings.ready) ||
-	    listen_on(e, EDGE_LISTENER_DIRECTORY, &e->settings.directory) ||
-	    listen_on(e, EDGE_LISTENER_CONTROL, &e->settings.control))
-		return ERR_IO;
-	return ERR_OK;
-}
-
-void cconn_stop_accepting(struct edge *e)
-{
-	(void)e;
-	if (listeners[EDGE_LISTENER_CALLERS] >= 0)
-		close(listeners[EDGE_LISTENER_CALLERS]);
-	listeners[EDGE_LISTENER_CALLERS] = -1;
 }
 
 void cconn_expire(struct edge *e)
@@ -543,8 +516,13 @@
 		struct cconn_row *c = tab_at(&e->caller_conns, i);
 		int64_t age = now - c->state_since_ns;
 
-		if (c->closed || !c->response_done ||
-		    c->state != CCONN_READING_HEAD)
+		if (c->closed || !c->response_done)
+			continue;
+		/* The caller was answered and does not send the rest of the
+		 * body. */
+		if (c->state == CCONN_READING_BODY && age > idle)
+			close_connection(e, c, "body not received in time");
+		if (c->closed || c->state != CCONN_READING_HEAD)
 			continue;
 		if (c->closing && age > LINGER_NS)
 			close_connection(e, c, "response not read in time");
@@ -579,9 +557,4 @@
 		close_connection(e, tab_at(&e->caller_conns, (uint32_t)i),
 				 "stop");
 	cconn_sweep(e);
-	for (i = 0; i <= EDGE_LISTENER_CONTROL; i++) {
-		if (listeners[i] >= 0)
-			close(listeners[i]);
-		listeners[i] = -1;
-	}
 }
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -38,20 +38,26 @@
 	/* Reading is paused until more of the body is sent to the backend
 	 * server. */
 	bool body_paused;
+	/* in may hold a further request; see cconn_tick(). */
+	bool input_pending;
+	/* Bytes of the request's body so far. */
+	uint64_t body_bytes;
 	/* Registered with epoll. */
 	uint32_t events;
 	/* End of the last response, or arrival of the first bytes after it. */
 	int64_t state_since_ns;
 };
 
-/* Opens the listeners given in the settings. */
-enum err cconn_start(struct edge *e);
+void cconn_start(struct edge *e);
 void cconn_stop(struct edge *e);
-/* Closes the listener for callers; open connections stay. */
-void cconn_stop_accepting(struct edge *e);
+/* Takes over a socket that a listener accepted. */
+void cconn_add(struct edge *e, enum edge_listener listener, int fd);
+/* Parses requests that arrived together with one that has been answered. */
+void cconn_tick(struct edge *e);
 /*
- * Enforces the time limits: closes idle connections and those whose last
- * response is not read, and rejects an incomplete head with 408.
+ * Enforces the time limits: closes idle connections, those whose last response
+ * is not read and those that do not send the rest of a body after the response,
+ * and rejects an incomplete head with 408.
  */
 void cconn_expire(struct edge *e);
 /* Removes the rows of closed connections. */
@@ -61,9 +67,14 @@
  * retry_after_ns is 0. */
 void cconn_respond(struct edge *e, struct hnd caller, int status,
 		   const char *reason, int64_t retry_after_ns);
+/* Lengths for cconn_begin_response(). */
+#define CCONN_CHUNKED (-1)
+/* A response without a body that does not say how long it would be. */
+#define CCONN_NO_LENGTH (-2)
 /*
  * Starts the response of a backend server. The fields are header lines without
- * those that frame the body; length is -1 for a chunked body.
+ * those that frame the body; length is that of the body, or one of the
+ * constants above.
  */
 void cconn_begin_response(struct edge *e, struct hnd caller, int status,
 			  struct str phrase, struct str fields, int64_t length);
--- a/src/edge/edge_config.c
+++ b/src/edge/edge_config.c
@@ -3,6 +3,8 @@
 #include <ctype.h>
 #include <stdlib.h>
 
+#include "request_path.h"
+
 #define INITIAL_CAP 16
 #define DEFAULT_HEAD_BYTES 16384
 #define DEFAULT_BODY_BYTES (64 << 20)
@@ -108,6 +110,7 @@
 	r->name = arn_strdup(&c->arena, route->name);
 	r->host = arn_strdup(&c->arena, route->host);
 	r->prefix = arn_strdup(&c->arena, route->prefix);
+	c->has_encoded_prefix |= !path_is_plain(r->prefix);
 	r->first_dest = c->dest_count;
 	r->dest_count = dest_count;
 	for (i = 0; i < dest_count; i++) {
--- a/src/edge/edge_config.h
+++ b/src/edge/edge_config.h
@@ -70,6 +70,8 @@
 	struct conf_limits limits;
 	struct conf_route *routes;
 	uint32_t route_count, route_cap;
+	/* Some prefix is not as path_normalize() writes it. */
+	bool has_encoded_prefix;
 	/* Destinations of all routes; see conf_route.first_dest. */
 	struct conf_dest *dests;
 	uint32_t dest_count, dest_cap;
--- /dev/null
+++ b/src/edge/edge_listeners.h
@@ -0,0 +1,15 @@
+#ifndef EDGE_LISTENERS_H
+#define EDGE_LISTENERS_H
+
+#include "edge.h"
+
+/* Sockets that accept connections of callers, of the platform and of other
+ * VMs. */
+
+/* Opens the listeners given in the settings. */
+enum err lsn_start(struct edge *e);
+/* Closes the listener for callers; open connections stay. */
+void lsn_stop_accepting(void);
+void lsn_stop(void);
+
+#endif
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -41,6 +41,10 @@
 {
 	size_t len = sizeof(d->bytes) - d->out.left;
 
+	if (d->out.overflow)
+		logs_msg(LOGS_ERROR, "news",
+			 "message to another VM exceeds %d bytes; not sent",
+			 EMSG_MAX_BYTES);
 	if (d->out.overflow || e->message_fd < 0)
 		return;
 	/* A datagram that the kernel rejects is treated as a lost one. */
@@ -182,7 +186,7 @@
 	emsg_send_to_peers(e, &d);
 }
 
-void emsg_send_notice(struct edge *e, const struct sync_notice *n)
+bool emsg_send_notice(struct edge *e, const struct sync_notice *n)
 {
 	struct emsg_datagram d;
 	uint32_t i;
@@ -195,7 +199,10 @@
 	mpk_put_array(&d.out, n->change_count);
 	for (i = 0; i < n->change_count; i++)
 		codec_put_change(&d.out, &n->changes[i]);
+	if (d.out.overflow)
+		return false;
 	emsg_send_to_peers(e, &d);
+	return true;
 }
 
 static void on_notice(struct edge *e, struct mpk_reader *in, uint64_t sender)
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -9,6 +9,7 @@
 #include "edge_outlier_detection.h"
 #include "logs.h"
 #include "edge_load_balancing.h"
+#include "request_check.h"
 #include "request_internal.h"
 
 /* A body up to this size is buffered before a server is chosen, so that the
@@ -17,9 +18,6 @@
 /* Unsent bytes of a streamed body above which reading from the caller
  * pauses. */
 #define MAX_UNSENT_BODY_BYTES 262144
-/* For requests without a deadline. */
-#define DEFAULT_DEADLINE_NS (30 * NS_PER_S)
-#define MAX_DEADLINE_MS 3600000
 /* Connections that may fail before a request is given up. */
 #define MAX_CONNECT_FAILURES 4
 /* Time without requests for a server that this VM cannot connect to. */
@@ -141,18 +139,6 @@
 	}
 }
 
-static int64_t parse_deadline(const struct edge *e, const struct hreq *head,
-			      int64_t start_ns)
-{
-	uint64_t ms;
-
-	if (str_parse_u64(str_trim(hreq_header(head, e->headers->deadline_ms)),
-			  &ms) &&
-	    ms <= MAX_DEADLINE_MS)
-		return start_ns + (int64_t)ms * NS_PER_MS;
-	return start_ns + DEFAULT_DEADLINE_NS;
-}
-
 static void set_route(struct edge *e, struct req_row *r,
 		      const struct conf_route *route)
 {
@@ -196,7 +182,8 @@
 }
 
 static struct hnd add_request(struct edge *e, struct hnd caller,
-			      const struct hreq *head, int64_t start_ns)
+			      const struct hreq *head, int64_t start_ns,
+			      int64_t deadline_ns)
 {
 	struct req_row *r;
 	struct hnd h;
@@ -212,7 +199,7 @@
 	strbuf_init(&r->fallback_body);
 	r->caller = caller;
 	r->start_ns = start_ns;
-	r->deadline_ns = parse_deadline(e, head, start_ns);
+	r->deadline_ns = deadline_ns;
 	r->expires_ns = r->deadline_ns;
 	r->connect_attempts_left = MAX_CONNECT_FAILURES;
 	r->head_method = str_eq(head->method, STR("HEAD"));
@@ -233,18 +220,33 @@
 		svc->last_safe_ns = e->ev.now_ns;
 }
 
+static int no_route_status(enum chk_route found)
+{
+	return found == CHK_ROUTE_NONE ? 404 : 400;
+}
+
+static const char *no_route_reason(enum chk_route found)
+{
+	return found == CHK_ROUTE_NONE ? "no route" : "ambiguous path";
+}
+
 struct hnd req_begin(struct edge *e, struct hnd caller, const struct hreq *head,
 		     int64_t start_ns)
 {
 	const struct conf_route *route;
+	enum chk_route found;
+	int64_t deadline_ns;
 	struct req_row *r;
 	struct hnd h;
 
 	ctr_add(CTR_REQUESTS, 1);
+	if (!chk_deadline(hreq_header(head, e->headers->deadline_ms), start_ns,
+			  &deadline_ns))
+		return refuse_unrouted(e, caller, head, 400, "bad deadline");
 	if (!edge_accepts_requests(e))
 		return refuse_unrouted(e, caller, head, 503, "VM is stopping");
 	if (awaits_first_conf(e)) {
-		h = add_request(e, caller, head, start_ns);
+		h = add_request(e, caller, head, start_ns, deadline_ns);
 		r = req_get(e, h);
 		r->state = REQ_UNROUTED;
 		strbuf_addf(&r->destination, "%.*s %.*s", STR_FMT(head->host),
@@ -254,10 +256,11 @@
 	if (!edge_has_state(e))
 		return refuse_unrouted(e, caller, head, 503,
 				       "no configuration yet");
-	route = conf_match_route(e->conf, head->host, head->path);
-	if (!route)
-		return refuse_unrouted(e, caller, head, 404, "no route");
-	h = add_request(e, caller, head, start_ns);
+	found = chk_route(e->conf, head->host, head->path, &route);
+	if (found != CHK_ROUTE_FOUND)
+		return refuse_unrouted(e, caller, head, no_route_status(found),
+				       no_route_reason(found));
+	h = add_request(e, caller, head, start_ns, deadline_ns);
 	r = req_get(e, h);
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
@@ -276,6 +279,7 @@
 	struct str path = strbuf_view(&r->destination);
 	struct str host = str_split(&path, ' ');
 	const struct conf_route *route;
+	enum chk_route found;
 
 	if (awaits_first_conf(e))
 		return;
@@ -283,9 +287,10 @@
 		req_refuse(e, r, 503, "no configuration yet");
 		return;
 	}
-	route = conf_match_route(e->conf, host, path);
-	if (!route) {
-		req_refuse(e, r, 404, "no route");
+	found = chk_route(e->conf, host, path, &route);
+	if (found != CHK_ROUTE_FOUND) {
+		req_refuse(e, r, no_route_status(found),
+			   no_route_reason(found));
 		return;
 	}
 	r->state = REQ_RECEIVING;
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -34,9 +34,18 @@
 void req_server_writable(struct edge *e, struct hnd req);
 /* The method is HEAD, so that the response has no body. */
 bool req_is_head_method(const struct edge *e, struct hnd req);
-/* False when the response belongs to another request and must be discarded. */
-bool req_matches_response(const struct edge *e, struct hnd req,
-			  const struct rsp *r);
+enum req_match {
+	REQ_MATCH,
+	/* It belongs to another request and must be discarded. */
+	REQ_MATCH_OTHER,
+	/* It cannot be told whether it does. */
+	REQ_MATCH_UNKNOWN,
+};
+
+/* Tells whether a response is that to the request; used_before says that the
+ * connection has carried other requests. */
+enum req_match req_match_response(const struct edge *e, struct hnd req,
+				  const struct rsp *r, bool used_before);
 /* The response is complete; it is freed after the call. */
 void req_response_complete(struct edge *e, struct hnd req,
 			   struct bconn_response *resp);
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -58,15 +58,19 @@
 	return r && r->head_method;
 }
 
-bool req_matches_response(const struct edge *e, struct hnd h,
-			  const struct rsp *rsp)
+enum req_match req_match_response(const struct edge *e, struct hnd h,
+				  const struct rsp *rsp, bool used_before)
 {
 	const struct req_row *r = req_get(e, h);
 	struct str id = rsp_get(rsp, e->headers->request_id);
 
+	if (!r || str_eq(id, strbuf_view(&r->id)))
+		return REQ_MATCH;
+	if (id.len)
+		return REQ_MATCH_OTHER;
 	/* A response that was generated before the server had read the request
-	 * has no id. */
-	return !r || !id.len || str_eq(id, strbuf_view(&r->id));
+	 * has no id; but it may also be a late copy of an earlier one. */
+	return used_before ? REQ_MATCH_UNKNOWN : REQ_MATCH;
 }
 
 static void update_mean_latency(struct edge *e, const struct req_row *r)
@@ -158,6 +162,15 @@
 	return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+static int64_t response_length(const struct req_row *r,
+			       const struct bconn_response *resp)
+{
+	if (!r->head_method)
+		return (int64_t)resp->body.len;
+	return resp->rsp.declared_length >= 0 ? resp->rsp.declared_length
+					      : CCONN_NO_LENGTH;
+}
+
 static void forward_response(struct edge *e, struct req_row *r,
 			     const struct bconn_response *resp)
 {
@@ -170,10 +183,7 @@
 	strbuf_init(&fields);
 	append_end_to_end_fields(resp, &fields);
 	cconn_begin_response(e, caller, resp->rsp.status, resp->rsp.phrase,
-			     strbuf_view(&fields),
-			     r->head_method && resp->rsp.length >= 0
-				     ? resp->rsp.length
-				     : (int64_t)resp->body.len);
+			     strbuf_view(&fields), response_length(r, resp));
 	cconn_send_body(e, caller, strbuf_view(&resp->body));
 	strbuf_free(&fields);
 	req_finish(e, r);
@@ -252,6 +262,15 @@
 	return cconn_unsent_bytes(e, r->caller);
 }
 
+void req_truncate(struct edge *e, struct req_row *r)
+{
+	struct hnd caller = r->caller;
+
+	ctr_add(CTR_TRUNCATED, 1);
+	req_finish(e, r);
+	cconn_reset(e, caller);
+}
+
 void req_stream_end(struct edge *e, struct hnd h)
 {
 	struct req_row *r = req_get(e, h);
@@ -262,6 +281,7 @@
 	caller = r->caller;
 	r->backend_conn = HND_NONE;
 	ctr_add(CTR_ANSWERED, 1);
+	ctr_observe(CTR_REQUEST_DURATION, e->ev.now_ns - r->start_ns);
 	req_report_outcome(e, r, HLTH_SUCCESS);
 	req_finish(e, r);
 	cconn_end_response(e, caller);
@@ -279,11 +299,7 @@
 	req_log(e, r, "broken", why, may_have_run);
 	req_report_outcome(e, r, outcome);
 	if (r->state == REQ_RELAYING) {
-		struct hnd caller = r->caller;
-
-		ctr_add(CTR_TRUNCATED, 1);
-		req_finish(e, r);
-		cconn_reset(e, caller);
+		req_truncate(e, r);
 		return;
 	}
 	if (!retry(e, h, why))
--- a/src/edge/request_timeout.c
+++ b/src/edge/request_timeout.c
@@ -78,8 +78,16 @@
 {
 	struct req_row *r = req_get(e, h);
 
-	if (!r || r->state == REQ_RELAYING)
+	if (!r)
 		return;
+	if (r->state == REQ_RELAYING) {
+		/* The server may go on without end. */
+		if (now_ns >= r->expires_ns) {
+			req_log(e, r, "broken", "time limit reached", 1);
+			req_truncate(e, r);
+		}
+		return;
+	}
 	record_accepted(e, r);
 	if (r->state == REQ_UNROUTED)
 		req_route(e, h);
@@ -112,7 +120,7 @@
 		const struct req_row *r = tab_at(&e->requests, i);
 		int64_t at = r->expires_ns, stall_age;
 
-		if (r->state == REQ_DONE || r->state == REQ_RELAYING)
+		if (r->state == REQ_DONE)
 			continue;
 		if (r->state == REQ_UNROUTED && req_route_deadline(e) < at)
 			at = req_route_deadline(e);
--- a/src/edge/response_head.c
+++ b/src/edge/response_head.c
@@ -35,8 +35,9 @@
 	struct rsp *r = p->data;
 
 	r->status = p->status_code;
-	r->length = p->content_length == ULLONG_MAX
-			    ? -1
+	r->length = p->content_length == ULLONG_MAX ? -1
+		    : p->content_length > INT64_MAX
+			    ? INT64_MIN
 			    : (int64_t)p->content_length;
 	r->keep_alive = http_should_keep_alive(p);
 	/* Skips the body, which hbod decodes. */
@@ -109,6 +110,9 @@
 		    head.len ||
 	    p.http_errno != HPE_OK || !r->status)
 		return "not an HTTP response";
+	if (r->length < -1)
+		return "Content-Length too large";
+	r->declared_length = r->length;
 	if (check_fields(r))
 		return check_fields(r);
 	coding = rsp_get(r, STR("transfer-encoding"));
--- a/src/edge/response_head.h
+++ b/src/edge/response_head.h
@@ -13,8 +13,12 @@
 	struct hreq_field fields[HREQ_MAX_FIELDS];
 	size_t field_count;
 	bool chunked;
-	/* -1 for a chunked body or one that ends with the connection. */
+	/* Length of the body that follows; -1 for a chunked body or one that
+	 * ends with the connection. */
 	int64_t length;
+	/* Content-Length, which in the response to HEAD is that of a body that
+	 * is not sent; -1 for none. */
+	int64_t declared_length;
 	bool keep_alive;
 	/* Idle timeout in the Keep-Alive field, in seconds; 0 for none. */
 	uint64_t idle_s;
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -186,9 +186,9 @@
 }
 
 /* Sends a notice that changes[first..last) are all those between two versions
- * of the store. */
-static void send_notice_part(struct edge *e, uint64_t from, uint64_t to,
-			     uint32_t first, uint32_t last)
+ * of the store; false if it does not fit a message. */
+static bool try_send_notice(struct edge *e, uint64_t from, uint64_t to,
+			    uint32_t first, uint32_t last)
 {
 	const struct sync_changes *c = &e->sync.changes;
 	struct sync_notice n = {
@@ -207,7 +207,25 @@
 		n.changes[i - first] = c->changes[i];
 		n.changes[i - first].report.id = str_from(c->changes[i].id);
 	}
-	emsg_send_notice(e, &n);
+	return emsg_send_notice(e, &n);
+}
+
+/* Version of the store after the kept change before that index. */
+static uint64_t version_before(const struct edge *e, uint32_t index)
+{
+	return e->sync.changes.changes[index - 1].report.version;
+}
+
+/* The same, in as many notices as it takes; one change always fits. */
+static void send_notice_part(struct edge *e, uint64_t from, uint64_t to,
+			     uint32_t first, uint32_t last)
+{
+	uint32_t middle = first + (last - first) / 2;
+
+	if (try_send_notice(e, from, to, first, last) || last - first < 2)
+		return;
+	send_notice_part(e, from, version_before(e, middle), first, middle);
+	send_notice_part(e, version_before(e, middle), to, middle, last);
 }
 
 /* Index of the first kept change that is newer than a version. */
--- a/src/http_request.c
+++ b/src/http_request.c
@@ -5,6 +5,8 @@
 #include <limits.h>
 #include <string.h>
 
+/* The longest registered method has 17. */
+#define MAX_METHOD_BYTES 32
 #define RESERVED_SEGMENT STR(".currantpaddle")
 
 size_t hreq_head_len(struct str bytes)
@@ -23,6 +25,38 @@
 	return 0;
 }
 
+/* False for a complete line that does not end with a version. */
+static bool may_be_request_line(struct str bytes)
+{
+	struct str rest = bytes;
+	struct str line = str_split(&rest, '\n');
+
+	if (line.len == bytes.len)
+		return true;
+	line = str_trim(line);
+	return line.len > 9 &&
+	       str_starts_with(str_skip(line, line.len - 9), STR(" HTTP/"));
+}
+
+bool hreq_may_be_request(struct str bytes)
+{
+	struct str method;
+	size_t i;
+
+	/* Servers ignore empty lines before a request. */
+	while (bytes.len && (*bytes.ptr == '\r' || *bytes.ptr == '\n'))
+		bytes = str_skip(bytes, 1);
+	for (i = 0; i < bytes.len && bytes.ptr[i] != ' '; i++)
+		;
+	method = (struct str){bytes.ptr, i};
+	if (method.len > MAX_METHOD_BYTES)
+		return false;
+	if (!bytes.len)
+		return true;
+	return method.len && hreq_is_token(method) &&
+	       may_be_request_line(bytes);
+}
+
 bool hreq_is_token(struct str s)
 {
 	size_t i;
--- a/src/http_request.h
+++ b/src/http_request.h
@@ -46,6 +46,8 @@
  * is incomplete. Lines may end with a bare LF here; hreq_parse() refuses them.
  */
 size_t hreq_head_len(struct str bytes);
+/* Returns false if no request begins with these bytes of an incomplete head. */
+bool hreq_may_be_request(struct str bytes);
 /* Returns NULL, or the reason why the head is refused. */
 const char *hreq_parse(struct hreq *r, struct str head);
 /* Returns the first field's value; ptr is NULL if there is no such field. */
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -446,6 +446,77 @@
 	}
 }
 
+/* Returns how many of the ids the datagrams that wait at the socket hold, or -1
+ * if a datagram has more than 1400 bytes. */
+static int count_ids(int fd, char ids[][EDGE_ID_BYTES], int count)
+{
+	static char bytes[65536];
+	bool seen[SYNC_MAX_NOTICE_CHANGES] = {false};
+	int i, n = 0;
+	ssize_t len;
+
+	while (len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT), len > 0) {
+		if (len > 1400)
+			return -1;
+		for (i = 0; i < count; i++)
+			seen[i] |= memmem(bytes, (size_t)len, ids[i],
+					  strlen(ids[i])) != NULL;
+	}
+	for (i = 0; i < count; i++)
+		n += seen[i];
+	return n;
+}
+
+/* Guards against a change notice that is dropped because the ids of its servers
+ * make it larger than a datagram. */
+static void test_large_notice(void **state)
+{
+	static const struct {
+		int id_bytes;
+		int changes;
+	} cases[] = {{10, 1}, {10, 15}, {40, 15}, {71, 15}, {71, 2}};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		char ids[SYNC_MAX_NOTICE_CHANGES][EDGE_ID_BYTES];
+		struct vm_record r = fix_record("vm1", "z0", "r0");
+		socklen_t size = sizeof(r.message_addr);
+		int fd = socket(AF_INET, SOCK_DGRAM, 0);
+		int k, found;
+
+		r.message_addr.sin_family = AF_INET;
+		r.message_addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		assert_int_equal(bind(fd, (void *)&r.message_addr, size), 0);
+		getsockname(fd, (void *)&r.message_addr, &size);
+		fix_init(&e);
+		e.message_fd = socket(AF_INET, SOCK_DGRAM, 0);
+		vm_merge(&e, &r);
+		edge_set_conf(&e, new_conf(1));
+		e.servers_known = true;
+		start_sync();
+		e.sync.servers_version = 5;
+		e.sync.read_after = 5;
+		e.sync.reading_servers = true;
+		for (k = 0; k < cases[i].changes; k++) {
+			struct srv_change change;
+
+			snprintf(ids[k], sizeof(ids[k]), "%0*d",
+				 cases[i].id_bytes, k);
+			change = make_change(ids[k], (uint64_t)(6 + k), false);
+			sync_on_change(&e, &change);
+		}
+		sync_servers_done(&e, SYNC_OK, 30);
+		found = count_ids(fd, ids, cases[i].changes);
+		if (found != cases[i].changes)
+			fail_msg("%d ids of %d bytes: %d received",
+				 cases[i].changes, cases[i].id_bytes, found);
+		close(e.message_fd);
+		close(fd);
+		fix_free(&e);
+	}
+}
+
 /* Guards against data that is lost or altered when the state is encoded and
  * decoded, and against truncated states. */
 static void test_state(void **state)
@@ -541,6 +612,7 @@
 		cmocka_unit_test(test_config_repeated),
 		cmocka_unit_test(test_config_after_outage),
 		cmocka_unit_test(test_notices),
+		cmocka_unit_test(test_large_notice),
 		cmocka_unit_test(test_state),
 		cmocka_unit_test(test_load_reports),
 	};
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -278,6 +278,11 @@
 		 HEAD("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
 		 false, false},
 		{"not HTTP", "garbage\r\n\r\n", false, false},
+		{"length beyond 63 bits",
+		 HEAD("Content-Length: 9223372036854775808\r\n"), false, false},
+		{"length beyond 64 bits",
+		 HEAD("Content-Length: 99999999999999999999\r\n"), false,
+		 false},
 	};
 	size_t i;
 
--- a/tools/serverd.c
+++ b/tools/serverd.c
@@ -20,6 +20,13 @@
  *     unsigned   responds without Response-Signature
  *     stray      sends the response of another request first
  *     cut        closes the connection after half of the body
+ *     leaving    responds with Server-Leaving
+ *     pause      503, not run, with a Retry-After of 3 s
+ *     twice      sends the response again 50 ms later
+ *     twice-bare sends a 503 "not run" without an id 50 ms after the response
+ *     endless-head, endless-info, endless-body, endless-chunk, endless-other
+ *                sends header fields, informational responses, a body, a chunk
+ *                line or responses of others until the connection is closed
  */
 #include <civetweb.h>
 #include <fcntl.h>
@@ -39,9 +46,12 @@
 /* How often a held request looks for another fault. */
 #define HANG_POLL_MS 50
 #define MAX_BODY_BYTES (1 << 20)
+#define MAX_ENDLESS_BYTES (256u << 20)
+#define SECOND_COPY_US 50000
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 
 static char server_id[ID_BYTES];
-static char fault[16] = "none";
+static char fault[24] = "none";
 /* Request ids in order of the runs; later ones are not kept. */
 static char runs[MAX_RUNS][ID_BYTES];
 static unsigned run_count;
@@ -105,6 +115,48 @@
 	return send_response(c, 200, "", "", STR("ok"), 2);
 }
 
+/* Bytes that are no response, or begin one and never end. */
+static const struct endless {
+	const char *fault;
+	const char *start;
+	const char *repeated;
+} endless_faults[] = {
+	{"endless-head", "HTTP/1.1 200 OK\r\n", "X-Pad: 0123456789\r\n"},
+	{"endless-info", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	{"endless-body", "HTTP/1.1 200 OK\r\nResponse-Signature: 1.2.3\r\n\r\n",
+	 "0123456789abcdef"},
+	{"endless-chunk",
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+	 "0123456789abcdef"},
+	{"endless-other", "",
+	 "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 4\r\n"
+	 "\r\nmore"},
+};
+
+/* True if the fault is one of these; returns after the peer has closed. */
+static bool send_endless(struct mg_connection *c)
+{
+	char block[4096];
+	size_t i, len = 0, sent = 0;
+	const char *text;
+
+	for (i = 0; i < COUNT(endless_faults); i++)
+		if (has_fault(endless_faults[i].fault))
+			break;
+	if (i == COUNT(endless_faults))
+		return false;
+	text = endless_faults[i].repeated;
+	while (len + strlen(text) < sizeof(block)) {
+		memcpy(block + len, text, strlen(text));
+		len += strlen(text);
+	}
+	mg_write(c, endless_faults[i].start, strlen(endless_faults[i].start));
+	while (sent < MAX_ENDLESS_BYTES && mg_write(c, block, len) > 0)
+		sent += len;
+	mg_close_connection(c);
+	return true;
+}
+
 static int run_request(struct mg_connection *c, const char *id)
 {
 	static const char signature[] = "Response-Signature: 1.2.3\r\n";
@@ -126,6 +178,10 @@
 		usleep(HANG_POLL_MS * 1000);
 	if (has_fault("slow"))
 		usleep(SLOW_MS * 1000);
+	if (send_endless(c)) {
+		free(body);
+		return 200;
+	}
 	if (has_fault("reset"))
 		mg_close_connection(c);
 	else if (has_fault("error"))
@@ -136,8 +192,21 @@
 		send_response(c, 200, signature, id, content, content.len / 2);
 	else if (has_fault("stray"))
 		send_response(c, 200, signature, "another", STR("stray"), 5);
-	if (has_fault("none") || has_fault("stray") || has_fault("slow"))
+	else if (has_fault("leaving"))
+		send_response(c, 200,
+			      "Response-Signature: 1.2.3\r\n"
+			      "Server-Leaving: 1\r\n",
+			      id, content, content.len);
+	if (has_fault("none") || has_fault("stray") || has_fault("slow") ||
+	    has_fault("twice") || has_fault("twice-bare"))
+		send_response(c, 200, signature, id, content, content.len);
+	if (has_fault("twice") || has_fault("twice-bare"))
+		usleep(SECOND_COPY_US);
+	if (has_fault("twice"))
 		send_response(c, 200, signature, id, content, content.len);
+	if (has_fault("twice-bare"))
+		mg_printf(c, "HTTP/1.1 503 Status\r\nNot-Executed: 1\r\n"
+			     "Content-Length: 0\r\n\r\n");
 	if (has_fault("cut"))
 		mg_close_connection(c);
 	free(body);
@@ -161,6 +230,10 @@
 	if (expected_id && strcmp(expected_id, server_id) != 0)
 		return send_response(c, 421, "Not-Executed: 1\r\n", id,
 				     STR("other"), 5);
+	if (has_fault("pause"))
+		return send_response(c, 503,
+				     "Not-Executed: 1\r\nRetry-After: 3\r\n",
+				     id, STR("full"), 4);
 	if (has_fault("shed"))
 		return send_response(c, 503, "Not-Executed: 1\r\n", id,
 				     STR("full"), 4);
