Forget what an idle server owes; report loads to the own zone more often

Change: what a server owes decays with 1 s while it is idle, and a reinstatement clears it (test_forgotten). Load reports go to the VMs of the own zone at an interval by the zone's size, to the others as before.

--- a/src/edge/backend_load.c
+++ b/src/edge/backend_load.c
@@ -25,6 +25,14 @@
 /* Assumed for a region without a current summary. */
 #define UNKNOWN_LOAD_PERMILLE 800
 
+static int64_t interval_for(uint32_t vms)
+{
+	return vms > REPORT_INTERVAL_VMS
+		       ? REPORT_INTERVAL_NS * vms / REPORT_INTERVAL_VMS
+		       : REPORT_INTERVAL_NS;
+}
+
+/* Interval between reports to the VMs of this region. */
 static int64_t report_interval(const struct edge *e)
 {
 	uint32_t i, vms = 0;
@@ -34,9 +42,21 @@
 
 		vms += vm->region == e->region;
 	}
-	return vms > REPORT_INTERVAL_VMS
-		       ? REPORT_INTERVAL_NS * vms / REPORT_INTERVAL_VMS
-		       : REPORT_INTERVAL_NS;
+	return interval_for(vms);
+}
+
+/* Interval between reports to the VMs of this zone, which use the same servers
+ * most. */
+static int64_t zone_report_interval(const struct edge *e)
+{
+	uint32_t i, vms = 0;
+
+	for (i = 0; i < e->vms.len; i++) {
+		const struct vm_row *vm = tab_at(&e->vms, i);
+
+		vms += vm->zone == e->zone;
+	}
+	return interval_for(vms);
 }
 
 static void add_peers_in_flight(struct edge *e, const struct load_report *r,
@@ -141,16 +161,6 @@
 	}
 }
 
-/* An unchanged report is sent again before it expires at the peers. */
-static bool is_report_due(const struct edge *e, const struct vm_row *self,
-			  const struct load_report *r)
-{
-	return memcmp(r, &self->load, sizeof(*r)) != 0 ||
-	       (r->count &&
-		e->ev.now_ns - self->load_report_ns >
-			REPORT_LIFETIME_INTERVALS / 2 * report_interval(e));
-}
-
 static void collect_budget(struct edge *e, struct vm_row *self,
 			   struct bud_report *out)
 {
@@ -161,20 +171,56 @@
 	self->budget_report_ns = e->ev.now_ns;
 }
 
+/* An unchanged report is sent again before it expires at the peers. */
+static bool is_report_due(const struct edge *e, const struct load_report *last,
+			  int64_t last_ns, const struct load_report *r)
+{
+	return memcmp(r, last, sizeof(*r)) != 0 ||
+	       (r->count &&
+		e->ev.now_ns - last_ns >
+			REPORT_LIFETIME_INTERVALS / 2 * report_interval(e));
+}
+
+static void report_to_region(struct edge *e, struct vm_row *self,
+			     const struct load_report *r)
+{
+	struct bud_report budget;
+
+	collect_budget(e, self, &budget);
+	if (!budget.count &&
+	    !is_report_due(e, &self->load, self->load_report_ns, r))
+		return;
+	self->load = *r;
+	self->load_report_ns = e->ev.now_ns;
+	e->zone_load = *r;
+	e->zone_load_ns = e->ev.now_ns;
+	emsg_send_load(e, r, &budget, false);
+}
+
+static void report_to_zone(struct edge *e, const struct load_report *r)
+{
+	static const struct bud_report no_budget = {.count = 0};
+
+	if (!is_report_due(e, &e->zone_load, e->zone_load_ns, r))
+		return;
+	e->zone_load = *r;
+	e->zone_load_ns = e->ev.now_ns;
+	emsg_send_load(e, r, &no_budget, true);
+}
+
 static void send_report(void *ctx, int64_t now_ns)
 {
 	struct edge *e = ctx;
 	struct vm_row *self = vm_self(e);
-	int64_t interval = report_interval(e);
-	struct bud_report budget;
+	int64_t interval = zone_report_interval(e);
 	struct load_report r;
 
 	collect_load(e, &r);
-	collect_budget(e, self, &budget);
-	if (is_report_due(e, self, &r) || budget.count) {
-		self->load = r;
-		self->load_report_ns = now_ns;
-		emsg_send_load(e, &r, &budget);
+	if (now_ns - e->region_report_ns >= report_interval(e)) {
+		e->region_report_ns = now_ns;
+		report_to_region(e, self, &r);
+	} else {
+		report_to_zone(e, &r);
 	}
 	tmr_subscribe(&e->ev.timers, &(struct tmr_opts){
 					     .due_ns = now_ns + interval,
--- a/src/edge/backend_progress.c
+++ b/src/edge/backend_progress.c
@@ -1,5 +1,7 @@
 #include "backend_progress.h"
 
+#include <math.h>
+
 /* Mean latency assumed before a service's first response. */
 #define INITIAL_LATENCY_NS (400 * NS_PER_MS)
 /* Expected completions without one at which a server becomes suspect, and those
@@ -9,17 +11,24 @@
 #define COMPLETION_CREDIT 2.0
 /* Bound of what a server can owe, so that it recovers soon. */
 #define MAX_OWED 8.0
+/* Time constant with which it is forgotten while the server is idle. */
+#define IDLE_DECAY_NS NS_PER_S
 
 static double owed_now(struct edge *e, const struct srv_row *s)
 {
 	int64_t mean = edge_service(e, s->service)->mean_latency_ns;
 	uint32_t busy = s->in_flight + s->peers_in_flight;
+	int64_t age_ns;
 	double owed;
 
 	/* Requests beyond the slots wait in the server's queue. */
 	if (busy > s->slots)
 		busy = s->slots;
-	owed = s->owed + (double)busy * (double)(e->ev.now_ns - s->owed_ns) /
+	age_ns = e->ev.now_ns - s->owed_ns;
+	/* Without requests a server cannot show that it has recovered. */
+	if (!busy)
+		return s->owed * exp(-(double)age_ns / (double)IDLE_DECAY_NS);
+	owed = s->owed + (double)busy * (double)age_ns /
 				 (double)(mean ? mean : INITIAL_LATENCY_NS);
 	return owed < MAX_OWED ? owed : MAX_OWED;
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -408,6 +408,12 @@
 	/* Calls to the store and to other VMs. */
 	struct tab calls;
 	struct tab region_services;
+	/* Last load report to the VMs of this zone, which get more reports
+	 * than the others, and when all were last due to get one. The row of
+	 * this VM holds the last report to all. */
+	struct load_report zone_load;
+	int64_t zone_load_ns;
+	int64_t region_report_ns;
 	/* By region and service. */
 	struct idx region_service_by_key;
 	struct idx vm_by_key;
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -258,8 +258,21 @@
 	}
 }
 
+static void send_to_zone(struct edge *e, const struct emsg_datagram *d)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->vms.len; i++) {
+		const struct vm_row *vm = tab_at(&e->vms, i);
+
+		if (vm->key != e->self && vm->zone == e->zone &&
+		    vm_is_alive(e, vm))
+			emsg_send(e, d, &vm->message_addr);
+	}
+}
+
 void emsg_send_load(struct edge *e, const struct load_report *r,
-		    const struct bud_report *budget)
+		    const struct bud_report *budget, bool zone_only)
 {
 	struct emsg_datagram d;
 	uint32_t i;
@@ -271,7 +284,10 @@
 		mpk_put_uint(&d.out, r->servers[i]);
 		mpk_put_uint(&d.out, r->in_flight[i]);
 	}
-	emsg_send_to_peers(e, &d);
+	if (zone_only)
+		send_to_zone(e, &d);
+	else
+		emsg_send_to_peers(e, &d);
 }
 
 static void on_load(struct edge *e, struct mpk_reader *in, uint64_t sender)
--- a/src/edge/edge_messages.h
+++ b/src/edge/edge_messages.h
@@ -23,10 +23,11 @@
 void emsg_send_leaving(struct edge *e, const struct srv_row *s);
 /* Reports the start of a trial of a server to the peers. */
 void emsg_send_trial(struct edge *e, const struct srv_row *s);
-/* Reports this VM's requests in flight to the peers, with its counts of the
- * retry budget, which are empty in most reports. */
+/* Reports this VM's requests in flight to the peers, or to those of its zone
+ * only, with its counts of the retry budget, which are empty in most reports.
+ */
 void emsg_send_load(struct edge *e, const struct load_report *r,
-		    const struct bud_report *budget);
+		    const struct bud_report *budget, bool zone_only);
 /* Sends the summary of this region to a few VMs of each other region, which
  * forward it within theirs. */
 void emsg_send_summary(struct edge *e, const struct load_summary *s);
--- a/src/edge/edge_outlier_detection.c
+++ b/src/edge/edge_outlier_detection.c
@@ -184,6 +184,7 @@
 	}
 	s->ejected = false;
 	s->score = 0;
+	s->owed = 0;
 	s->last_accepted_ns = e->ev.now_ns;
 	ctr_add(CTR_REINSTATEMENTS, 1);
 	log_change(s, "reinstate", HLTH_SUCCESS, own);
--- a/tests/test_backend_progress.c
+++ b/tests/test_backend_progress.c
@@ -128,6 +128,46 @@
 	}
 }
 
+/* Guards against a server that gets no requests for ever, as only a response
+ * would show that it has recovered (kanal-tor-grown, outage-and-loss --vary
+ * --seed 146610329804, FLOOR: idle for 15 s after its reinstatement). */
+static void test_forgotten(void **state)
+{
+	static const struct {
+		const char *name;
+		double owed;
+		int after_ms;
+		bool reinstated;
+		bool suspect;
+	} cases[] = {
+		{"just now", 8, 0, false, true},
+		{"soon after", 8, 500, false, true},
+		{"later", 8, 1100, false, false},
+		{"reinstated", 8, 0, true, false},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct srv_row *s;
+
+		fix_init(&e);
+		s = fix_server(&e, "i-0", "z0");
+		s->owed = cases[i].owed;
+		s->owed_ns = e.ev.now_ns;
+		fix_advance(&e, cases[i].after_ms * NS_PER_MS);
+		if (cases[i].reinstated) {
+			s->ejected = true;
+			hlth_record(&e, s, HLTH_SUCCESS);
+			hlth_record(&e, s, HLTH_SUCCESS);
+			hlth_record(&e, s, HLTH_SUCCESS);
+		}
+		if (prog_is_suspect(&e, s) != cases[i].suspect)
+			fail_msg("%s", cases[i].name);
+		fix_free(&e);
+	}
+}
+
 /* Guards against a peer's requests that failed and count as responses of the
  * server when they leave its load report. */
 static void test_peer_reports(void **state)
@@ -289,6 +329,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_stall_decision),
 		cmocka_unit_test(test_suspect),
+		cmocka_unit_test(test_forgotten),
 		cmocka_unit_test(test_peer_reports),
 		cmocka_unit_test(test_unproven),
 		cmocka_unit_test(test_path),
