--- a/scripts/it_layers.sh
+++ b/scripts/it_layers.sh
@@ -32,7 +32,8 @@
 expect_no_match "decisions of an edge VM include no sockets or encodings" \
 	"$edge_encodings" \
 	$(edge_files edge_retry_budget edge_admission edge_outlier_detection \
-		backend_load edge_membership edge_load_balancing backend_server)
+		backend_load edge_membership edge_load_balancing backend_server \
+		backend_progress stalled_attempt request_check)
 expect_no_match "decisions of an entry VM include no sockets or encodings" \
 	'#include [<"](sys/socket|sys/epoll|poll|civetweb|zmq|mpack|json-c/|http_parser|messagepack|peer_codec|peer_transport|backend_connection|platform_http)(\.h|/|>|")' \
 	src/allocator_{lease,distribution,grants,roster}.c \
@@ -48,7 +49,7 @@
 expect_no_match "only main.c includes the platform adapter" '#include "pf_' \
 	$(ls src/*.[ch] src/edge/*.[ch] | grep -v '^src/main\.c$')
 expect_no_match "only platform/ uses the platform's names" \
-	'rows-|Expect-Instance|Not-Executed|Response-Signature|(^|[^-])Deadline-Ms|warmup_left|traffic_split' \
+	'rows-|Expect-Instance|(^|[^-])Server-Leaving|Not-Executed|Response-Signature|(^|[^-])Deadline-Ms|warmup_left|traffic_split' \
 	src/*.[ch] src/edge/*.[ch]
 long_files=$(wc -l src/*.[ch] src/edge/*.[ch] platform/*.[ch] |
 	awk '$2 != "total" && $1 > 600')
--- a/scripts/it_server_faults.sh
+++ b/scripts/it_server_faults.sh
@@ -141,6 +141,22 @@
 	"$([ "$(memory_kb 1)" -le $max_memory_kb ] && echo yes ||
 		echo "$(memory_kb 1) KB")" yes
 
+echo "# a request that starts although its caller left while the VM was paused"
+kill -STOP "${pid_of[e1]}"
+for n in 1 2 3 4 5; do
+	exec {fd}<>"/dev/tcp/127.21.2.1/$port"
+	printf "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: left$n\r\nContent-Length: 1\r\n\r\nx" >&$fd
+	exec {fd}>&-
+done
+sleep 1
+kill -CONT "${pid_of[e1]}"
+sleep 1
+ran=0
+for n in 1 2 3 4 5; do
+	ran=$((ran + $(count_runs left$n)))
+done
+check "such requests that ran" "$ran" 0
+
 echo "# requests in one segment of which the second is not answered"
 get='GET /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: seg%s\r\n\r\n'
 check "two requests" "$(send_raw 1 "${get/\%s/1}${get/\%s/2}")" "200 200 open"
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -142,7 +142,7 @@
 	if (!e->leaving)
 		return;
 	if (!edge_accepts_requests(e))
-		lsn_stop_accepting();
+		lsn_stop_accepting(e);
 	if (is_drained(e))
 		e->ev.stop = true;
 }
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -456,12 +456,10 @@
 		close_connection(e, c, "caller connection failed");
 		return;
 	}
-	if ((events & EPOLLIN) && !receive(e, c)) {
-		close_connection(e, c, "caller closed its connection");
-		return;
-	}
-	/* A half-closed connection counts as closed by the caller. */
-	if ((events & EPOLLRDHUP) && !(events & EPOLLIN)) {
+	/* A half-closed connection counts as closed by the caller, who may have
+	 * left while this process was paused: a request that still waits to be
+	 * read must not start. */
+	if ((events & EPOLLRDHUP) || ((events & EPOLLIN) && !receive(e, c))) {
 		close_connection(e, c, "caller closed its connection");
 		return;
 	}
--- a/src/edge/edge_listeners.c
+++ b/src/edge/edge_listeners.c
@@ -15,24 +15,29 @@
 
 static int listeners[EDGE_LISTENER_CONTROL + 1] = {-1, -1, -1, -1};
 
+static bool accept_one(struct edge *e, enum edge_listener listener)
+{
+	int fd = accept4(listeners[listener], NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd < 0 && (errno == EMFILE || errno == ENFILE))
+		logs_msg(LOGS_WARNING, "accept",
+			 "cannot accept a connection: out of file descriptors");
+	if (fd < 0)
+		return false;
+	cconn_add(e, listener, fd);
+	return true;
+}
+
 static void on_listener_event(void *ctx, struct hnd h, uint32_t events)
 {
 	enum edge_listener listener = (enum edge_listener)h.slot;
 	struct edge *e = ctx;
 	int i;
 
-	for (i = 0; i < ACCEPT_BATCH && listeners[listener] >= 0; i++) {
-		int fd = accept4(listeners[listener], NULL, NULL,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (fd < 0 && (errno == EMFILE || errno == ENFILE))
-			logs_msg(LOGS_WARNING, "accept",
-				 "cannot accept a connection: out of file "
-				 "descriptors");
-		if (fd < 0)
+	for (i = 0; i < ACCEPT_BATCH && listeners[listener] >= 0; i++)
+		if (!accept_one(e, listener))
 			return;
-		cconn_add(e, listener, fd);
-	}
 }
 
 static enum err listen_on(struct edge *e, enum edge_listener listener,
@@ -75,9 +80,15 @@
 	listeners[listener] = -1;
 }
 
-void lsn_stop_accepting(void)
+void lsn_stop_accepting(struct edge *e)
 {
-	close_listener(EDGE_LISTENER_CALLERS);
+	enum edge_listener listener = EDGE_LISTENER_CALLERS;
+
+	/* Closing the socket would reset the connections in its queue, whose
+	 * callers may have sent a request. */
+	while (listeners[listener] >= 0 && accept_one(e, listener))
+		;
+	close_listener(listener);
 }
 
 void lsn_stop(void)
--- a/src/edge/edge_listeners.h
+++ b/src/edge/edge_listeners.h
@@ -8,8 +8,9 @@
 
 /* Opens the listeners given in the settings. */
 enum err lsn_start(struct edge *e);
-/* Closes the listener for callers; open connections stay. */
-void lsn_stop_accepting(void);
+/* Closes the listener for callers, after it has accepted the connections that
+ * wait there; open connections stay. */
+void lsn_stop_accepting(struct edge *e);
 void lsn_stop(void);
 
 #endif
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -541,6 +541,11 @@
 
 	if (!r)
 		return;
+	/* This process may have been paused since it chose the server. */
+	if (e->ev.now_ns >= r->expires_ns) {
+		req_expire(e, r);
+		return;
+	}
 	send_request(e, r);
 	if (r->streaming)
 		cconn_resume(e, r->caller);
--- a/src/edge/request_internal.h
+++ b/src/edge/request_internal.h
@@ -29,6 +29,8 @@
  * earlier attempt if there is one, or else as req_refuse() does.
  */
 void req_give_up(struct edge *e, struct req_row *r, const char *why);
+/* Ends a request whose time limit has passed. */
+void req_expire(struct edge *e, struct req_row *r);
 /* Ends a request whose response was relayed in part. */
 void req_truncate(struct edge *e, struct req_row *r);
 /* Routes a request that arrived before the first configuration. */
--- a/src/edge/request_timeout.c
+++ b/src/edge/request_timeout.c
@@ -51,7 +51,7 @@
 		req_retry_stalled(e, h);
 }
 
-static void on_expired(struct edge *e, struct req_row *r)
+void req_expire(struct edge *e, struct req_row *r)
 {
 	bool sent = r->state == REQ_SENT;
 
@@ -92,7 +92,7 @@
 	if (r->state == REQ_UNROUTED)
 		req_route(e, h);
 	else if (now_ns >= r->expires_ns)
-		on_expired(e, r);
+		req_expire(e, r);
 	else if (r->state == REQ_CONNECTING &&
 		 now_ns - r->connect_ns >= CONNECT_TIMEOUT_NS)
 		req_connect_failed(e, h, "connect timed out");
