Mend the tools: a proxy that spins in a cut, a stub that resets requests

Cause: epoll reports the reset of a connection whose flows are cut again and again (185 ticks of processor time in 2 s); backendd used one flag for the fault "reset" and for Connection: close.

--- a/tools/backendd.c
+++ b/tools/backendd.c
@@ -143,6 +143,8 @@
 	/* Reset the connection after this many bytes of out; -1 for never. */
 	int64_t cut_at;
 	bool close_after_response;
+	/* A fault resets the connection in place of the response. */
+	bool reset_instead;
 	bool closed;
 };
 
@@ -487,7 +489,7 @@
 {
 	struct conn *c = ctx;
 
-	if (c->close_after_response && !c->out.len) {
+	if (c->reset_instead) {
 		close_conn(c, true);
 		return;
 	}
@@ -537,7 +539,7 @@
 			c->cut_at = 0;
 			break;
 		case MODE_RESET:
-			c->close_after_response = true;
+			c->reset_instead = true;
 			break;
 		case MODE_SHED:
 		case MODE_NONE:
@@ -670,6 +672,7 @@
 	/* One request at a time; flush() resumes the parser. */
 	http_parser_pause(p, 1);
 	c->close_after_response = !http_should_keep_alive(p);
+	c->reset_instead = false;
 	if (str_starts_with(url, STR("/stub/fault"))) {
 		set_fault(c->stub, url);
 		send_text(c, 200, "", STR("set\n"));
--- a/tools/faultproxy.c
+++ b/tools/faultproxy.c
@@ -289,11 +289,17 @@
 static void on_session_ready(void *ctx, uint32_t events)
 {
 	struct session *s = ctx;
+	struct loop *loop = &s->listener->proxy->loop;
 
-	(void)events;
 	transfer(&s->up);
 	if (!s->closed)
 		transfer(&s->down);
+	/* A cut hides the end of a connection, which epoll would report again
+	 * and again; transfer_all() finds it when the cut ends. */
+	if (s->closed || !(events & (EPOLLERR | EPOLLHUP)))
+		return;
+	loop_unwatch(loop, s->up.watch);
+	loop_unwatch(loop, s->down.watch);
 }
 
 static void init_flow(struct flow *f, struct session *s, bool is_up, int from,
