--- a/src/edge/backend_progress.c
+++ b/src/edge/backend_progress.c
@@ -14,28 +14,35 @@
 /* Time constant with which it is forgotten while the server is idle. */
 #define IDLE_DECAY_NS NS_PER_S
 
-static double owed_now(struct edge *e, const struct srv_row *s)
+/* Requests that the server works on; those beyond its slots wait in its
+ * queue. */
+static uint32_t busy_slots(const struct srv_row *s)
 {
-	int64_t mean = edge_service(e, s->service)->mean_latency_ns;
 	uint32_t busy = s->in_flight + s->peers_in_flight;
-	int64_t age_ns;
+
+	return busy < s->slots ? busy : s->slots;
+}
+
+static double owed_now(const struct edge *e, const struct srv_row *s,
+		       int64_t mean_latency_ns)
+{
+	int64_t mean = mean_latency_ns ? mean_latency_ns : INITIAL_LATENCY_NS;
+	int64_t age_ns = e->ev.now_ns - s->owed_ns;
+	uint32_t busy = busy_slots(s);
 	double owed;
 
-	/* Requests beyond the slots wait in the server's queue. */
-	if (busy > s->slots)
-		busy = s->slots;
-	age_ns = e->ev.now_ns - s->owed_ns;
 	/* Without requests a server cannot show that it has recovered. */
 	if (!busy)
 		return s->owed * exp(-(double)age_ns / (double)IDLE_DECAY_NS);
-	owed = s->owed + (double)busy * (double)age_ns /
-				 (double)(mean ? mean : INITIAL_LATENCY_NS);
+	owed = s->owed + (double)busy * (double)age_ns / (double)mean;
 	return owed < MAX_OWED ? owed : MAX_OWED;
 }
 
 void prog_advance(struct edge *e, struct srv_row *s)
 {
-	s->owed = owed_now(e, s);
+	int64_t mean = edge_service(e, s->service)->mean_latency_ns;
+
+	s->owed = owed_now(e, s, mean);
 	s->owed_ns = e->ev.now_ns;
 }
 
@@ -62,7 +69,10 @@
 	prog_completed(e, s, count - failed);
 }
 
-bool prog_is_suspect(struct edge *e, const struct srv_row *s)
+bool prog_is_suspect(const struct edge *e, const struct srv_row *s,
+		     int64_t mean_latency_ns)
 {
-	return owed_now(e, s) >= SUSPECT_OWED;
+	if (!busy_slots(s) && s->owed < SUSPECT_OWED)
+		return false;
+	return owed_now(e, s, mean_latency_ns) >= SUSPECT_OWED;
 }
--- a/src/edge/backend_progress.h
+++ b/src/edge/backend_progress.h
@@ -21,7 +21,9 @@
 void prog_peer_failed(struct srv_row *s);
 /* Records that requests in flight of a peer have ended. */
 void prog_peer_ended(struct edge *e, struct srv_row *s, uint32_t count);
-/* True while the server owes so many completions that it probably hangs. */
-bool prog_is_suspect(struct edge *e, const struct srv_row *s);
+/* True while the server owes so many completions that it probably hangs, given
+ * the mean latency of its service; 0 if there is none yet. */
+bool prog_is_suspect(const struct edge *e, const struct srv_row *s,
+		     int64_t mean_latency_ns);
 
 #endif
--- a/src/edge/edge_load_balancing.c
+++ b/src/edge/edge_load_balancing.c
@@ -56,6 +56,8 @@
 	const struct req_row *req;
 	bool below_floor;
 	uint32_t max_load;
+	/* Of the service. */
+	int64_t mean_latency_ns;
 };
 
 static bool was_tried(const struct req_row *req, uint64_t key)
@@ -96,10 +98,8 @@
 	return (safe ? -IDLE_BONUS : UNPROVEN_COST) * age / UNPROVEN_NS;
 }
 
-static int64_t load_cost(const struct choice *ch, const struct srv_row *s)
+static int64_t load_cost(int64_t load)
 {
-	int64_t load = load_permille(ch->e, s);
-
 	if (load <= FREE_LOAD_PERMILLE)
 		return load * JITTER_COST / FREE_LOAD_PERMILLE;
 	if (load < 1000)
@@ -110,20 +110,21 @@
 
 static int64_t cost(const struct choice *ch, const struct srv_row *s)
 {
+	uint32_t load = load_permille(ch->e, s);
 	int64_t c =
-		distance_cost(ch, s) + load_cost(ch, s) + unproven_cost(ch, s);
+		distance_cost(ch, s) + load_cost(load) + unproven_cost(ch, s);
 
 	if (!s->idle_connections)
 		c += CONNECT_COST;
 	if (s->slow_start_until_ns > ch->e->ev.now_ns)
 		c += SLOW_START_COST;
-	if (load_permille(ch->e, s) >= ch->max_load)
+	if (load >= ch->max_load)
 		c += OVERLOAD_COST;
 	if (hlth_path_is_down(ch->e, s))
 		c += PATH_DOWN_COST;
 	else if (s->path_failures && ch->req->kind != CONF_SAFE)
 		c += SUSPECT_COST;
-	if (prog_is_suspect(ch->e, s))
+	if (prog_is_suspect(ch->e, s, ch->mean_latency_ns))
 		c += SUSPECT_COST;
 	if (hlth_is_ejected(ch->e, s))
 		c += ch->e->ev.now_ns - s->last_trial_ns > OLD_EJECTED_NS
@@ -234,7 +235,13 @@
 struct pick pick_server(struct edge *e, const struct req_row *req,
 			uint32_t max_load)
 {
-	struct choice ch = {.e = e, .req = req, .max_load = max_load};
+	struct choice ch = {
+		.e = e,
+		.req = req,
+		.max_load = max_load,
+		.mean_latency_ns =
+			edge_service(e, req->service)->mean_latency_ns,
+	};
 	struct pick out = {.result = PICK_NONE};
 
 	out.server = find_trial(&ch);
--- a/tests/test_backend_progress.c
+++ b/tests/test_backend_progress.c
@@ -72,7 +72,7 @@
 	s->in_flight = in_flight;
 	while (e.ev.now_ns - start < 10 * NS_PER_S) {
 		fix_advance(&e, 10 * NS_PER_MS);
-		if (prog_is_suspect(&e, s))
+		if (prog_is_suspect(&e, s, MEAN_NS))
 			return e.ev.now_ns - start;
 		if (!interval_ns || e.ev.now_ns - last < interval_ns)
 			continue;
@@ -162,7 +162,7 @@
 			hlth_record(&e, s, HLTH_SUCCESS);
 			hlth_record(&e, s, HLTH_SUCCESS);
 		}
-		if (prog_is_suspect(&e, s) != cases[i].suspect)
+		if (prog_is_suspect(&e, s, MEAN_NS) != cases[i].suspect)
 			fail_msg("%s", cases[i].name);
 		fix_free(&e);
 	}
