--- a/scripts/it_server_faults.sh
+++ b/scripts/it_server_faults.sh
@@ -142,6 +142,15 @@
 		echo "$(memory_kb 1) KB")" yes
 
 echo "# a request that starts although its caller left while the VM was paused"
+# Leaves idle connections to servers, on which a request can be sent at once.
+loads=()
+for n in $(seq 8); do
+	curl -s -m 8 -o /dev/null -H 'Host: h.example' \
+		-H "Request-Id: warm$n" -d x \
+		"http://127.21.2.1:$port/unsafe/x" &
+	loads+=($!)
+done
+wait "${loads[@]}"
 kill -STOP "${pid_of[e1]}"
 for n in 1 2 3 4 5; do
 	exec {fd}<>"/dev/tcp/127.21.2.1/$port"
