--- a/src/counted_string.c
+++ b/src/counted_string.c
@@ -76,6 +76,16 @@
 	return head;
 }
 
+bool str_is_digits(struct str s)
+{
+	size_t i;
+
+	for (i = 0; i < s.len; i++)
+		if (s.ptr[i] < '0' || s.ptr[i] > '9')
+			return false;
+	return s.len > 0;
+}
+
 bool str_parse_u64(struct str s, uint64_t *out)
 {
 	uint64_t value = 0;
--- a/src/counted_string.h
+++ b/src/counted_string.h
@@ -44,6 +44,8 @@
  * after it in s. Without a sep, returns the whole string and leaves s empty.
  */
 struct str str_split(struct str *s, char sep);
+/* Returns true for one or more decimal digits and nothing else. */
+bool str_is_digits(struct str s);
 /*
  * Parses decimal digits. Returns false on an empty string, on any other byte
  * (signs and white space included) and on overflow.
--- a/src/edge/request_check.c
+++ b/src/edge/request_check.c
@@ -65,16 +65,6 @@
 	return CHK_ROUTE_AMBIGUOUS;
 }
 
-static bool is_number(struct str s)
-{
-	size_t i;
-
-	for (i = 0; i < s.len; i++)
-		if (s.ptr[i] < '0' || s.ptr[i] > '9')
-			return false;
-	return s.len > 0;
-}
-
 bool chk_deadline(struct str value, int64_t start_ns, int64_t *deadline_ns)
 {
 	uint64_t ms;
@@ -83,7 +73,7 @@
 	*deadline_ns = start_ns + DEFAULT_DEADLINE_NS;
 	if (!value.len)
 		return true;
-	if (!is_number(value))
+	if (!str_is_digits(value))
 		return false;
 	/* A number that does not fit is above the maximum as well. */
 	if (!str_parse_u64(value, &ms) || ms > MAX_DEADLINE_MS)
--- a/src/edge/server_signals.c
+++ b/src/edge/server_signals.c
@@ -7,16 +7,6 @@
 /* Digits of a fraction that fit in nanoseconds. */
 #define MAX_FRACTION_DIGITS 9
 
-static bool is_number(struct str s)
-{
-	size_t i;
-
-	for (i = 0; i < s.len; i++)
-		if (s.ptr[i] < '0' || s.ptr[i] > '9')
-			return false;
-	return s.len > 0;
-}
-
 int64_t sig_parse_retry_after(struct str value)
 {
 	struct str fraction = str_trim(value);
@@ -26,7 +16,7 @@
 	uint64_t seconds;
 	size_t i;
 
-	if (!is_number(whole) || (has_point && !is_number(fraction)))
+	if (!str_is_digits(whole) || (has_point && !str_is_digits(fraction)))
 		return -1;
 	/* A number that does not fit is above the maximum as well. */
 	if (!str_parse_u64(whole, &seconds) ||
