faultproxy: watch a session again when its cut ends

Cause: a session whose end a cut had hidden was not watched afterwards; and only a cut of both directions hides it.

Test: a step of it_tools for delayed responses (passed before as well).

--- a/scripts/it_tools.sh
+++ b/scripts/it_tools.sh
@@ -35,6 +35,13 @@
 check "status" "$(curl -s -m 3 -o /dev/null -w '%{http_code}' \
 	-H 'Connection: close' "http://$server/x")" 200
 
+echo "# a delay that loses the end of a response whose server closes"
+curl -s -m 2 -o /dev/null "http://$control/rule?src=&dst=&mode=delay&ms=200"
+check "response of 300000 bytes" "$(curl -s -m 5 -o /dev/null \
+	-w '%{http_code} %{size_download}' -H 'Connection: close' \
+	"http://$proxy/x?size=300000")" "200 300000"
+curl -s -m 2 -o /dev/null "http://$control/clear"
+
 echo "# a cut during which the proxy spins after a client's reset"
 # A connection that is closed with unread bytes is reset.
 exec {fd}<>"/dev/tcp/${proxy/:/\/}"
--- a/tools/faultproxy.c
+++ b/tools/faultproxy.c
@@ -113,6 +113,8 @@
 	struct flow down;
 	struct hnd row;
 	bool closed;
+	/* Its descriptors are not watched, as a cut hides their end. */
+	bool unwatched;
 };
 
 static void transfer(struct flow *f);
@@ -294,12 +296,26 @@
 	transfer(&s->up);
 	if (!s->closed)
 		transfer(&s->down);
-	/* A cut hides the end of a connection, which epoll would report again
-	 * and again; transfer_all() finds it when the cut ends. */
-	if (s->closed || !(events & (EPOLLERR | EPOLLHUP)))
+	/* During a cut of both directions, epoll would report the end of a
+	 * connection again and again; see resume(). */
+	if (s->closed || !(events & (EPOLLERR | EPOLLHUP)) || !is_cut(&s->up) ||
+	    !is_cut(&s->down))
 		return;
 	loop_unwatch(loop, s->up.watch);
 	loop_unwatch(loop, s->down.watch);
+	s->unwatched = true;
+}
+
+/* Watches the session again once a cut has ended. */
+static void resume(struct session *s)
+{
+	struct loop *loop = &s->listener->proxy->loop;
+
+	if (!s->unwatched || (is_cut(&s->up) && is_cut(&s->down)))
+		return;
+	s->unwatched = false;
+	s->up.watch = loop_watch(loop, s->up.from, 0, on_session_ready, s);
+	s->down.watch = loop_watch(loop, s->down.from, 0, on_session_ready, s);
 }
 
 static void init_flow(struct flow *f, struct session *s, bool is_up, int from,
@@ -412,6 +428,7 @@
 		if (i >= proxy->sessions.len)
 			continue;
 		s = *(struct session **)tab_at(&proxy->sessions, i);
+		resume(s);
 		transfer(&s->up);
 		if (!s->closed)
 			transfer(&s->down);
