--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+set -- 4
+. "$(dirname "$0")/../run-case.sh"
