--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,143 +1,183 @@
 /*
- * A VM is stopped with SIGTERM while requests wait in its queue, because all
- * slots of the service are in use. Each request must get an answer before its
- * connection ends.
+ * Uploads of 8 MB. The servers begin to answer while they still read the body,
+ * and their answers have no length: they end with the connection. One server
+ * crashes in the middle. A caller must not take the part of an answer that
+ * arrived until then for a whole one.
  */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "standin.h"
 
-#define SERVERS 2
-#define SLOTS 6
-#define WORK_MS 2500
-#define RATE 10.0
-#define REQUESTS 43
-#define SIGTERM_AT 2.0
+#define SERVERS 7
+#define CALLERS 21
+#define UPLOAD_BYTES 8000000L
+#define FIRST_PART 20000
+#define ANSWER_BYTES 60000
+/* The server reads 2 MB a second. */
+#define READ_BYTES 32768
+#define READ_PAUSE_US 16000
+#define CRASH_AT 0.8
 #define DEADLINE_MS 12000
-#define GRACE_S 6.0
-#define LOST_TIME_S 0.2
 
 static struct st_server servers[SERVERS];
+static char block[READ_BYTES];
 static double begin;
 
-struct request {
-	char id[32];
-	double due;
-	double sent;
-	double ended;
+/* Reads a request without its body and answers it; the body is read on in
+ * between. */
+static bool answer(struct st_server *s, struct st_conn *c,
+		   const struct st_head *h)
+{
+	long left = h->length;
+	char text[512];
+	int n;
+
+	n = snprintf(text, sizeof(text),
+		     "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+		     "Response-Signature: 1.2.3\r\nConnection: close\r\n\r\n",
+		     h->id);
+	st_send(c, text, (size_t)n);
+	st_send(c, block, FIRST_PART);
+	st_note("server %s: request %s runs, first %d of %d bytes of the "
+		"answer sent",
+		s->id, h->id, FIRST_PART, ANSWER_BYTES);
+	left -= (long)c->len;
+	while (left > 0) {
+		ssize_t got = recv(c->fd, block, sizeof(block), 0);
+
+		if (got <= 0) {
+			st_note("server %s: request %s broken off by the "
+				"caller",
+				s->id, h->id);
+			return false;
+		}
+		left -= got;
+		usleep(READ_PAUSE_US);
+	}
+	for (n = FIRST_PART; n < ANSWER_BYTES; n += FIRST_PART)
+		st_send(c, block, FIRST_PART);
+	st_note("server %s: request %s ran, whole answer sent", s->id, h->id);
+	return false;
+}
+
+struct caller {
+	int number;
 	int status;
+	bool is_signed;
+	bool complete;
+	long declared;
+	long received;
 };
 
-static struct request requests[REQUESTS];
+static struct caller callers[CALLERS];
 
-static bool answer(struct st_server *s, struct st_conn *c,
-		   const struct st_head *h)
+struct upload {
+	struct st_conn *conn;
+	const char *id;
+};
+
+static void *send_upload(void *arg)
 {
-	st_note("server %s: request %s arrived", s->id, h->id);
-	st_work(s, WORK_MS);
-	st_note("server %s: request %s ran", s->id, h->id);
-	return st_answer(c, h, 200, "");
+	struct upload *u = arg;
+
+	st_send_request(u->conn, "POST", "/upload/a", u->id, DEADLINE_MS,
+			UPLOAD_BYTES);
+	return NULL;
 }
 
-static void *send_one(void *arg)
+static void *call(void *arg)
 {
-	struct request *r = arg;
+	struct caller *k = arg;
+	struct upload u;
+	struct st_head h;
 	struct st_conn c;
+	pthread_t sender;
+	char id[32];
 
-	st_sleep_until(r->due);
-	if (st_dial(&c, st_ip(ST_EDGE, 1), st_port, DEADLINE_MS + 2000)) {
-		st_note("request %s: connection refused", r->id);
-		r->status = -1;
+	snprintf(id, sizeof(id), "u%d", k->number);
+	st_sleep_until(begin);
+	if (st_dial(&c, st_ip(ST_EDGE, 1), st_port, DEADLINE_MS + 1000))
 		return NULL;
+	u = (struct upload){&c, id};
+	sender = st_thread(send_upload, &u);
+	st_note("upload %s sent", id);
+	if (st_read_head(&c, &h)) {
+		k->status = h.status;
+		k->is_signed = strstr(h.text, "Response-Signature:");
+		k->declared = strstr(h.text, "Content-Length:") ? h.length
+								: -1;
+		k->complete = k->declared >= 0 &&
+			      st_skip_body(&c, k->declared);
+		k->received = k->complete ? k->declared : 0;
 	}
-	st_send_request(&c, "POST", "/book/a", r->id, DEADLINE_MS, 800);
-	r->sent = st_now();
-	st_note("request %s sent", r->id);
-	r->status = st_read_response(&c);
-	r->ended = st_now();
-	if (r->status)
-		st_note("request %s answered %d", r->id, r->status);
-	else
-		st_note("request %s: connection ended without an answer",
-			r->id);
+	st_note("upload %s: status %d, %s, %ld bytes announced, %s", id,
+		k->status, k->is_signed ? "signed" : "not signed", k->declared,
+		k->complete ? "all received" : "not all received");
+	shutdown(c.fd, SHUT_RDWR);
+	pthread_join(sender, NULL);
 	st_close(&c);
 	return NULL;
 }
 
-static bool reached_a_server(const char *id)
-{
-	int i;
-
-	for (i = 0; i < SERVERS; i++)
-		if (st_reached(&servers[i], id))
-			return true;
-	return false;
-}
-
 int main(void)
 {
 	static const struct st_route routes[] = {
-		{"book", "unsafe", "crews", "9000ms", "11000ms", 2, 2},
+		{"upload", "upload", "archive", "8000ms", "10000ms", 1, 1},
 	};
-	pthread_t threads[REQUESTS];
-	int i, answered = 0, cut = 0, lost = 0;
-	double term = 0;
-	pid_t vm;
+	pthread_t threads[CALLERS];
+	pid_t processes[SERVERS];
+	int i, whole = 0, wrong = 0;
 
 	st_init("review/1", 41);
-	st_start_store();
-	st_put_config(3, routes, 1);
 	for (i = 0; i < SERVERS; i++) {
 		servers[i] = (struct st_server){
-			.n = i + 1, .slots = SLOTS, .answer = answer};
+			.n = i + 1, .slots = 6, .answer = answer,
+			.early = true};
 		snprintf(servers[i].id, sizeof(servers[i].id), "i-%d", i + 1);
-		st_start_server(&servers[i]);
-		st_put_server(servers[i].id, i + 1, "crews", SLOTS, 1);
+		processes[i] = st_fork_server(&servers[i]);
 	}
-	vm = st_start_edge(1, false);
+	st_start_store();
+	st_put_config(3, routes, 1);
+	for (i = 0; i < SERVERS; i++)
+		st_put_server(servers[i].id, i + 1, "archive", 6, 1);
+	st_start_edge(1, false);
 	st_start_edge(2, false);
 	st_wait_ready(1);
 	st_wait_ready(2);
-	/* Longer than the stability of the pages. */
 	begin = st_now() + 4;
-	for (i = 0; i < REQUESTS; i++) {
-		snprintf(requests[i].id, sizeof(requests[i].id), "q%d", i);
-		requests[i].due = begin + i / RATE;
-		threads[i] = st_thread(send_one, &requests[i]);
+	for (i = 0; i < CALLERS; i++) {
+		callers[i].number = i;
+		threads[i] = st_thread(call, &callers[i]);
 	}
-	st_sleep_until(begin + SIGTERM_AT);
+	st_sleep_until(begin + CRASH_AT);
 	if (st_trouble()) {
-		term = st_now();
-		kill(vm, SIGTERM);
-		st_say("SIGTERM to VM 1");
-		st_wait_end(vm);
+		kill(processes[0], SIGKILL);
+		st_say("server i-1 crashes");
 	}
-	for (i = 0; i < REQUESTS; i++)
+	for (i = 0; i < CALLERS; i++)
 		pthread_join(threads[i], NULL);
-	for (i = 0; i < REQUESTS; i++) {
-		const struct request *r = &requests[i];
+	for (i = 0; i < CALLERS; i++) {
+		const struct caller *k = &callers[i];
 
-		answered += r->status > 0;
-		if (r->status || !r->sent)
+		if (k->status != 200 || !k->complete)
 			continue;
-		cut++;
-		/* Work at a server in the last sixth of the grace period is an
-		 * excuse; these never got to a server. */
-		if (reached_a_server(r->id) || r->ended - r->sent < LOST_TIME_S ||
-		    (term && r->ended > term + GRACE_S + 1))
+		whole += k->received == ANSWER_BYTES;
+		if (k->received == ANSWER_BYTES)
 			continue;
-		lost++;
-		st_say("request %s: sent %.2f s after SIGTERM, cut %.2f s "
-		       "after it was sent, never sent to a server",
-		       r->id, r->sent - term, r->ended - r->sent);
+		wrong++;
+		st_say("upload u%d: 200, signed, complete with %ld bytes; the "
+		       "answer has %d",
+		       i, k->received, ANSWER_BYTES);
 	}
-	st_say("%d requests: %d answered, %d cut, of which %d never reached a "
-	       "server",
-	       REQUESTS, answered, cut, lost);
-	if (lost)
-		st_exit(1, "LOST broken");
-	st_exit(0, "LOST held");
+	st_say("%d uploads: %d whole answers, %d partial answers that look "
+	       "complete",
+	       CALLERS, whole, wrong);
+	if (wrong)
+		st_exit(1, "MIXED broken");
+	st_exit(whole ? 0 : 2, "MIXED held");
 }
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-set -- 1
+set -- case-1
 . "$(dirname "$0")/../run-case.sh"
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,185 +1,143 @@
 /*
- * Uploads of 1.2 MB at a rate that the service can bear; for three seconds more
- * users come at once. A caller keeps its connection and sends a small read on
- * it six seconds after the answer to its upload. Each read must be answered by
- * the timeout of its route.
+ * A VM is stopped with SIGTERM while requests wait in its queue, because all
+ * slots of the service are in use. Each request must get an answer before its
+ * connection ends.
  */
-#include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "standin.h"
 
-#define UPLOAD_SERVERS 2
-#define READ_SERVERS 2
+#define SERVERS 2
 #define SLOTS 6
-#define WORK_MS 400
-/* 80% of the capacity. */
-#define RATE 24.0
-#define BURST_X 1.7
-#define BURST_AT 2.0
-#define BURST_S 3.0
-#define LENGTH_S 7.0
-#define MAX_CALLERS 300
-#define UPLOAD_BYTES 1200000
-#define UPLOAD_DEADLINE_MS 10000
-/* Less than four fifths of the idle timeout. */
-#define READ_AFTER_MS 6000
-#define READ_TIMEOUT_S 3.0
-#define MARGIN_S 0.5
-#define MIN_COUNT 8
+#define WORK_MS 2500
+#define RATE 10.0
+#define REQUESTS 43
+#define SIGTERM_AT 2.0
+#define DEADLINE_MS 12000
+#define GRACE_S 6.0
+#define LOST_TIME_S 0.2
 
-static struct st_server servers[UPLOAD_SERVERS + READ_SERVERS];
+static struct st_server servers[SERVERS];
+static double begin;
 
-struct caller {
-	int number;
+struct request {
+	char id[32];
 	double due;
-	/* Statuses; 0 for none, -1 for not sent. */
-	int upload;
-	int read;
-	double read_took;
+	double sent;
+	double ended;
+	int status;
 };
 
-static struct caller callers[MAX_CALLERS];
+static struct request requests[REQUESTS];
 
 static bool answer(struct st_server *s, struct st_conn *c,
 		   const struct st_head *h)
 {
-	st_note("server %s: request %s arrived whole", s->id, h->id);
-	st_work(s, s->n <= UPLOAD_SERVERS ? WORK_MS : 20);
+	st_note("server %s: request %s arrived", s->id, h->id);
+	st_work(s, WORK_MS);
 	st_note("server %s: request %s ran", s->id, h->id);
 	return st_answer(c, h, 200, "");
 }
 
-struct upload {
-	struct st_conn *conn;
-	const char *id;
-	volatile bool sent;
-};
-
-static void *send_upload(void *arg)
+static void *send_one(void *arg)
 {
-	struct upload *u = arg;
-
-	u->sent = st_send_request(u->conn, "POST", "/upload/a", u->id,
-				  UPLOAD_DEADLINE_MS, UPLOAD_BYTES);
-	return NULL;
-}
-
-static void *call(void *arg)
-{
-	struct caller *k = arg;
-	char id[32];
-	struct upload u = {.id = id};
+	struct request *r = arg;
 	struct st_conn c;
-	pthread_t sender;
-	double at;
-	int i;
 
-	st_sleep_until(k->due);
-	k->read = -1;
-	snprintf(id, sizeof(id), "u%d", k->number);
-	if (st_dial(&c, st_ip(ST_EDGE, 1), st_port, 12000))
-		return NULL;
-	u.conn = &c;
-	at = st_now();
-	st_note("upload %s starts", id);
-	sender = st_thread(send_upload, &u);
-	k->upload = st_read_response(&c);
-	st_note("upload %s answered %d after %.2f s", id, k->upload,
-		st_now() - at);
-	for (i = 0; i < 20 && !u.sent; i++)
-		usleep(50000);
-	/* A caller that cannot send the rest of its body leaves. */
-	if (!u.sent || !k->upload) {
-		st_note("upload %s: body not taken, caller leaves", id);
-		shutdown(c.fd, 2);
-		pthread_join(sender, NULL);
-		st_close(&c);
+	st_sleep_until(r->due);
+	if (st_dial(&c, st_ip(ST_EDGE, 1), st_port, DEADLINE_MS + 2000)) {
+		st_note("request %s: connection refused", r->id);
+		r->status = -1;
 		return NULL;
 	}
-	pthread_join(sender, NULL);
-	/* The extra users have left for five seconds by then. */
-	usleep(READ_AFTER_MS * 1000);
-	snprintf(id, sizeof(id), "r%d", k->number);
-	at = st_now();
-	if (!st_send_request(&c, "GET", "/read/a", id, 8000, 0)) {
-		st_note("read %s: connection closed before it was sent", id);
-		st_close(&c);
-		return NULL;
-	}
-	st_note("read %s sent on the same connection", id);
-	errno = 0;
-	k->read = st_read_response(&c);
-	k->read_took = st_now() - at;
-	if (k->read)
-		st_note("read %s answered %d after %.2f s", id, k->read,
-			k->read_took);
+	st_send_request(&c, "POST", "/book/a", r->id, DEADLINE_MS, 800);
+	r->sent = st_now();
+	st_note("request %s sent", r->id);
+	r->status = st_read_response(&c);
+	r->ended = st_now();
+	if (r->status)
+		st_note("request %s answered %d", r->id, r->status);
 	else
-		st_note("read %s: no answer after %.2f s (%s)", id,
-			k->read_took,
-			errno == EAGAIN ? "caller gave up" : "closed");
+		st_note("request %s: connection ended without an answer",
+			r->id);
 	st_close(&c);
 	return NULL;
 }
 
+static bool reached_a_server(const char *id)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		if (st_reached(&servers[i], id))
+			return true;
+	return false;
+}
+
 int main(void)
 {
 	static const struct st_route routes[] = {
-		{"upload", "upload", "archive", "1500ms", "5000ms", 1, 1},
-		{"read", "safe", "register", "1500ms", "3000ms", 2, 2},
+		{"book", "unsafe", "crews", "9000ms", "11000ms", 2, 2},
 	};
-	pthread_t threads[MAX_CALLERS];
-	int i, count = 0, reads = 0, late = 0, unanswered = 0, refused = 0;
-	double at = 0, begin;
+	pthread_t threads[REQUESTS];
+	int i, answered = 0, cut = 0, lost = 0;
+	double term = 0;
+	pid_t vm;
 
 	st_init("review/2", 42);
 	st_start_store();
-	st_put_config(3, routes, 2);
-	for (i = 0; i < UPLOAD_SERVERS + READ_SERVERS; i++) {
+	st_put_config(3, routes, 1);
+	for (i = 0; i < SERVERS; i++) {
 		servers[i] = (struct st_server){
 			.n = i + 1, .slots = SLOTS, .answer = answer};
 		snprintf(servers[i].id, sizeof(servers[i].id), "i-%d", i + 1);
 		st_start_server(&servers[i]);
-		st_put_server(servers[i].id, i + 1,
-			      i < UPLOAD_SERVERS ? "archive" : "register",
-			      SLOTS, 1);
+		st_put_server(servers[i].id, i + 1, "crews", SLOTS, 1);
 	}
-	st_start_edge(1, false);
+	vm = st_start_edge(1, false);
 	st_start_edge(2, false);
 	st_wait_ready(1);
 	st_wait_ready(2);
+	/* Longer than the stability of the pages. */
 	begin = st_now() + 4;
-	while (at < LENGTH_S && count < MAX_CALLERS) {
-		bool burst = st_trouble() && at >= BURST_AT &&
-			     at < BURST_AT + BURST_S;
-
-		callers[count] = (struct caller){.number = count,
-						 .due = begin + at};
-		threads[count] = st_thread(call, &callers[count]);
-		count++;
-		at += 1 / (burst ? RATE * BURST_X : RATE);
+	for (i = 0; i < REQUESTS; i++) {
+		snprintf(requests[i].id, sizeof(requests[i].id), "q%d", i);
+		requests[i].due = begin + i / RATE;
+		threads[i] = st_thread(send_one, &requests[i]);
+	}
+	st_sleep_until(begin + SIGTERM_AT);
+	if (st_trouble()) {
+		term = st_now();
+		kill(vm, SIGTERM);
+		st_say("SIGTERM to VM 1");
+		st_wait_end(vm);
 	}
-	for (i = 0; i < count; i++)
+	for (i = 0; i < REQUESTS; i++)
 		pthread_join(threads[i], NULL);
-	for (i = 0; i < count; i++) {
-		refused += callers[i].upload != 200;
-		if (callers[i].read < 0)
+	for (i = 0; i < REQUESTS; i++) {
+		const struct request *r = &requests[i];
+
+		answered += r->status > 0;
+		if (r->status || !r->sent)
+			continue;
+		cut++;
+		/* Work at a server in the last sixth of the grace period is an
+		 * excuse; these never got to a server. */
+		if (reached_a_server(r->id) || r->ended - r->sent < LOST_TIME_S ||
+		    (term && r->ended > term + GRACE_S + 1))
 			continue;
-		reads++;
-		late += !callers[i].read ||
-			callers[i].read_took > READ_TIMEOUT_S;
-		unanswered += !callers[i].read ||
-			      callers[i].read_took > READ_TIMEOUT_S + MARGIN_S;
+		lost++;
+		st_say("request %s: sent %.2f s after SIGTERM, cut %.2f s "
+		       "after it was sent, never sent to a server",
+		       r->id, r->sent - term, r->ended - r->sent);
 	}
-	st_say("%d uploads, %d of them not served", count, refused);
-	st_say("%d reads: %d unanswered at the timeout of the route, %d still "
-	       "unanswered %.1f s later",
-	       reads, late, unanswered, MARGIN_S);
-	if (unanswered >= MIN_COUNT && unanswered * 2 > late)
-		st_exit(1, "CONFIG broken");
-	st_exit(0, "CONFIG held");
+	st_say("%d requests: %d answered, %d cut, of which %d never reached a "
+	       "server",
+	       REQUESTS, answered, cut, lost);
+	if (lost)
+		st_exit(1, "LOST broken");
+	st_exit(0, "LOST held");
 }
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-set -- 2
+set -- case-2 responses-2
 . "$(dirname "$0")/../run-case.sh"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-set -- 4
+set -- case-4
 . "$(dirname "$0")/../run-case.sh"
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,9 +5,10 @@
 cd "$(dirname "$0")/.."
 make -j8 build/rowsd
 mkdir -p build/review
-for dir in review/[1-5]; do
-	[ -f "$dir/case.c" ] || continue
+for source in review/[1-5]/*.c; do
+	folder=$(dirname "$source")
+	name=$(basename "$source" .c)-$(basename "$folder")
 	cc -std=gnu11 -O1 -g -Wall -Wextra -Ireview/standins \
-		-o "build/review/case-$(basename "$dir")" \
-		"$dir/case.c" review/standins/standin.c -lpthread
+		-o "build/review/$name" \
+		"$source" review/standins/standin.c -lpthread
 done
--- a/review/standins/standin.c
+++ b/review/standins/standin.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -20,6 +21,7 @@
 #define FIRST_PORT 21000
 #define PORT_RANGE 9000
 #define PORTS 6
+#define EARLY_WINDOW_BYTES 65536
 
 int st_port;
 
@@ -180,7 +182,10 @@
 	/* The bound of a script. */
 	alarm(115);
 	snprintf(name, sizeof(name), "%s/record.txt", case_folder);
-	record = fopen(name, "w");
+	/* Child processes and other drivers of the case write to it as well. */
+	record = fopen(name, "a");
+	if (record)
+		setvbuf(record, NULL, _IOLBF, 4096);
 	if (!record || !mkdtemp(folder)) {
 		perror(name);
 		_exit(2);
@@ -198,6 +203,7 @@
 	snprintf(name, sizeof(name), "%s/%s.log", folder, log);
 	pid = fork();
 	if (!pid) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open(name, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
@@ -646,7 +652,8 @@
 
 	while (st_read_head(&v->conn, &h)) {
 		add_arrival(v->server, h.id);
-		if (!st_skip_body(&v->conn, h.length) ||
+		if ((!v->server->early &&
+		     !st_skip_body(&v->conn, h.length)) ||
 		    !v->server->answer(v->server, &v->conn, &h))
 			break;
 	}
@@ -675,14 +682,38 @@
 
 void st_start_server(struct st_server *s)
 {
+	int window = EARLY_WINDOW_BYTES;
+
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_cond_init(&s->freed, NULL);
 	s->listen_fd = listen_on(st_ip(ST_SERVER, s->n), st_port);
 	if (s->listen_fd < 0)
 		st_exit(2, "a backend server cannot listen");
+	/* Accepted connections inherit the small window. */
+	if (s->early)
+		setsockopt(s->listen_fd, SOL_SOCKET, SO_RCVBUF, &window,
+			   sizeof(window));
 	pthread_detach(st_thread(accept_callers, s));
 }
 
+pid_t st_fork_server(struct st_server *s)
+{
+	pid_t pid = fork();
+
+	if (!pid) {
+		process_count = 0;
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		st_start_server(s);
+		for (;;)
+			pause();
+	}
+	if (pid < 0 || process_count == MAX_PROCESSES)
+		st_exit(2, "cannot start a backend server");
+	processes[process_count++] = pid;
+	st_note("started server %s, process %d", s->id, (int)pid);
+	return pid;
+}
+
 void st_work(struct st_server *s, int ms)
 {
 	pthread_mutex_lock(&s->lock);
--- a/review/standins/standin.h
+++ b/review/standins/standin.h
@@ -107,6 +107,9 @@
 	int slots;
 	bool (*answer)(struct st_server *s, struct st_conn *c,
 		       const struct st_head *h);
+	/* answer() reads the body itself, from connections with a small
+	 * window. */
+	bool early;
 	int listen_fd;
 	pthread_mutex_t lock;
 	pthread_cond_t freed;
@@ -116,6 +119,8 @@
 };
 
 void st_start_server(struct st_server *s);
+/* The same in a process of its own. To be called before other threads run. */
+pid_t st_fork_server(struct st_server *s);
 /* Works on a request for that long, as soon as a slot is free. */
 void st_work(struct st_server *s, int ms);
 bool st_answer(struct st_conn *c, const struct st_head *h, int status,
