Edge: a reset is no end of a response, also after a failed send

Cause: with a part of the request unsent, a reset reports EPOLLIN, EPOLLOUT and EPOLLERR at once. send_pending() ran first, and send() took the error from the socket; recv() then returned 0, which completes a body without a length. An unacknowledged request (TCP_USER_TIMEOUT) ended the same way.

The first error of a send is now kept in the row, and an end after it counts as a reset, whichever call sees the error first. An orderly end during the request completes no success either: the socket of a killed server that has read what it got ends in order. The client for the store and the other VMs had the same fault.

Evidence: test_edge_response_end plays 13 ends of a connection. Before the fix five of them gave a whole response that was none: reset with 20,000, 0 and 200,000 bytes (relayed) of the body, end in order during the request, and no reading for 1.5 s.

--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -198,7 +198,10 @@
 	return c && c->state == BCONN_BUSY;
 }
 
-/* After a failed send, the socket's epoll event ends the attempt. */
+/*
+ * After a failed send, the socket's epoll event ends the attempt. The error is
+ * kept, as send() takes it from the socket: recv() would report an orderly end.
+ */
 static void send_pending(struct edge *e, struct bconn_row *c, struct hnd h)
 {
 	while (c->out_sent < c->out.len) {
@@ -208,6 +211,8 @@
 
 		if (n < 0 && errno == EINTR)
 			continue;
+		if (n < 0 && errno != EAGAIN && !c->failure)
+			c->failure = errno;
 		if (n < 0)
 			break;
 		c->out_sent += (size_t)n;
@@ -272,6 +277,11 @@
 	req_attempt_failed(e, req, outcome, why, may_have_run);
 }
 
+static bool is_request_sent(const struct bconn_row *c)
+{
+	return c->request_complete && c->out.len == c->out_sent;
+}
+
 /* Releases the connection before the request evaluates the response. */
 static void finish_response(struct edge *e, struct bconn_row *c, struct hnd h)
 {
@@ -284,8 +294,7 @@
 	strbuf_init(&c->response.head);
 	strbuf_init(&c->response.body);
 	if (response.rsp.keep_alive && !c->no_reuse && !c->in.len &&
-	    c->request_complete && c->out.len == c->out_sent && s &&
-	    s->state == SRV_READY) {
+	    is_request_sent(c) && s && s->state == SRV_READY) {
 		c->state = BCONN_IDLE;
 		c->req = HND_NONE;
 		c->idle_since_ns = e->ev.now_ns;
@@ -443,17 +452,29 @@
 	}
 }
 
+/*
+ * True if the end of the connection completes the response: an orderly end of a
+ * body without a length. A server that ends the connection before it has got
+ * the request has broken off its success.
+ */
+static bool is_completed_by_close(const struct bconn_row *c, int failure)
+{
+	const struct rsp *r = &c->response.rsp;
+
+	if (failure || !c->head_done || c->skip_response)
+		return false;
+	return !r->chunked && r->length < 0 &&
+	       (is_request_sent(c) || r->status / 100 != 2);
+}
+
+/* failure: error of the socket, 0 after an orderly end. */
 static void on_close(struct edge *e, struct hnd h, int failure)
 {
-	bool clean = !failure;
 	struct bconn_row *c = get_row(e, h);
 
 	if (!c || c->state != BCONN_BUSY)
 		return;
-	/* The end of the connection ends a body without a length; a reset
-	 * truncates it. */
-	if (clean && c->head_done && !c->skip_response &&
-	    !c->response.rsp.chunked && c->response.rsp.length < 0) {
+	if (is_completed_by_close(c, failure)) {
 		c->no_reuse = true;
 		finish_response(e, c, h);
 		return;
@@ -462,15 +483,17 @@
 		fail_attempt(e, c, HLTH_UNREACHED, "not acknowledged");
 	else
 		fail_attempt(e, c, HLTH_BROKEN,
-			     clean ? "connection closed" : "connection reset");
+			     failure ? "connection reset"
+				     : "connection closed");
 }
 
-static int socket_error(int fd)
+static int socket_error(const struct bconn_row *c)
 {
 	socklen_t size = sizeof(int);
-	int failure = 0;
+	int failure = c->failure;
 
-	getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size);
+	if (!failure)
+		getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &failure, &size);
 	return failure ? failure : ECONNRESET;
 }
 
@@ -484,7 +507,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		on_close(e, h, n < 0 ? errno : 0);
+		on_close(e, h, n < 0 ? errno : c->failure);
 		return;
 	}
 	c->in.len += (size_t)n;
@@ -536,7 +559,7 @@
 	if (c && (events & EPOLLIN))
 		receive(e, h);
 	else if (c && (events & (EPOLLERR | EPOLLHUP)))
-		on_close(e, h, socket_error(c->fd));
+		on_close(e, h, socket_error(c));
 }
 
 void bconn_resume(struct edge *e, struct hnd conn)
--- a/src/edge/edge_backend_connection.h
+++ b/src/edge/edge_backend_connection.h
@@ -36,6 +36,8 @@
 	uint32_t events;
 	/* Bytes of the request that were written to the socket. */
 	uint64_t sent_bytes;
+	/* First error of a send; 0 for none. */
+	int failure;
 	/* The end of the request is in out or was sent. */
 	bool request_complete;
 	/* The connection is closed after this response. */
--- a/src/edge/edge_http_client.c
+++ b/src/edge/edge_http_client.c
@@ -51,6 +51,7 @@
 	if (c->fd >= 0)
 		close(c->fd);
 	c->fd = -1;
+	c->failed = false;
 	c->state = CALL_CLOSED;
 	strbuf_reset(&c->in);
 }
@@ -132,6 +133,8 @@
 				 MSG_DONTWAIT | MSG_NOSIGNAL);
 
 		/* A connection error is handled with its epoll event. */
+		if (n < 0 && errno != EAGAIN && errno != EINTR)
+			c->failed = true;
 		if (n < 0)
 			break;
 		c->out_sent += (size_t)n;
@@ -265,8 +268,9 @@
 		return;
 	}
 	c->keep_alive = false;
-	finish(c,
-	       !n && c->head_done && c->until_close ? ERR_OK : ERR_UNREACHABLE);
+	finish(c, !n && !c->failed && c->head_done && c->until_close
+			  ? ERR_OK
+			  : ERR_UNREACHABLE);
 }
 
 void call_tick(struct edge *e, int64_t now_ns)
--- a/src/edge/edge_http_client.h
+++ b/src/edge/edge_http_client.h
@@ -46,6 +46,8 @@
 	bool busy;
 	struct strbuf out;
 	size_t out_sent;
+	/* A send failed, which hides a reset from recv(). */
+	bool failed;
 	struct strbuf in;
 	struct strbuf body;
 	bool head_done;
--- /dev/null
+++ b/tests/test_edge_response_end.c
@@ -0,0 +1,188 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "edge_socket_fixture.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define UPLOAD_BYTES (6 << 20)
+/* Longer than the time after which unacknowledged bytes break a connection. */
+#define STALL_MS 1500
+
+/* How the backend server ends its connection. */
+enum end {
+	END_CLOSE,
+	END_RESET,
+	/* It stops to read, and its connection stays open. */
+	END_STALL,
+};
+
+/* What the caller gets. */
+enum got {
+	/* The status and the whole body. */
+	GOT_WHOLE,
+	/* A response of the VM that promises nothing. */
+	GOT_502,
+	/* A reset, or no end so far. */
+	GOT_INCOMPLETE,
+};
+
+static const struct end_case {
+	const char *name;
+	/* Framing of the response's body, and its bytes sent. */
+	const char *framing;
+	int status;
+	int body_bytes;
+	/* The server reads the whole request first. */
+	bool reads_request;
+	enum end end;
+	enum got got;
+} end_cases[] = {
+	{"closed after the request", "", 200, 20000, true, END_CLOSE,
+	 GOT_WHOLE},
+	{"reset after the request", "", 200, 20000, true, END_RESET, GOT_502},
+	{"reset during the request", "", 200, 20000, false, END_RESET, GOT_502},
+	{"empty, reset during the request", "", 200, 0, false, END_RESET,
+	 GOT_502},
+	{"relayed, reset during the request", "", 200, 200000, false, END_RESET,
+	 GOT_INCOMPLETE},
+	{"relayed, closed after the request", "", 200, 200000, true, END_CLOSE,
+	 GOT_WHOLE},
+	{"relayed, reset after the request", "", 200, 200000, true, END_RESET,
+	 GOT_INCOMPLETE},
+	{"success closed during the request", "", 200, 20000, false, END_CLOSE,
+	 GOT_502},
+	{"failure closed during the request", "", 413, 20000, false, END_CLOSE,
+	 GOT_WHOLE},
+	{"stalled during the request", "", 200, 20000, false, END_STALL,
+	 GOT_502},
+	{"with a length, reset during the request", "Content-Length: 20000\r\n",
+	 200, 20000, false, END_RESET, GOT_WHOLE},
+	{"short of its length, reset", "Content-Length: 20001\r\n", 200, 20000,
+	 false, END_RESET, GOT_502},
+	{"short of its length, closed", "Content-Length: 20001\r\n", 200, 20000,
+	 true, END_CLOSE, GOT_502},
+};
+
+static struct edge e;
+static struct sfix fix;
+static struct strbuf upload, request, response, received;
+
+/* Lets the process run, the caller send and the server read if it does. */
+static void exchange(int caller, int server, bool reads_request,
+		     struct strbuf *request_bytes, int rounds)
+{
+	while (rounds-- > 0) {
+		ssize_t n = send(caller, upload.ptr, upload.len, MSG_NOSIGNAL);
+
+		if (n > 0) {
+			memmove(upload.ptr, upload.ptr + n,
+				upload.len - (size_t)n);
+			upload.len -= (size_t)n;
+		}
+		if (server >= 0 && reads_request)
+			sfix_receive(server, request_bytes);
+		sfix_run(&fix, 5);
+	}
+}
+
+static void end_connection(int fd, enum end end)
+{
+	struct linger now = {1, 0};
+
+	if (end == END_RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	if (end == END_RESET)
+		close(fd);
+	else if (end == END_CLOSE)
+		shutdown(fd, SHUT_WR);
+}
+
+static enum got classify(const struct end_case *c, int end)
+{
+	struct str bytes = strbuf_view(&received);
+	char status_line[32];
+	bool chunked = c->body_bytes > 65536;
+
+	if (str_starts_with(bytes, STR("HTTP/1.1 502")))
+		return GOT_502;
+	snprintf(status_line, sizeof(status_line), "HTTP/1.1 %d", c->status);
+	if (!str_starts_with(bytes, str_from(status_line)) ||
+	    bytes.len < (size_t)c->body_bytes || end == ECONNRESET)
+		return GOT_INCOMPLETE;
+	if (chunked && memcmp(bytes.ptr + bytes.len - 5, "0\r\n\r\n", 5) != 0)
+		return GOT_INCOMPLETE;
+	return GOT_WHOLE;
+}
+
+/* Guards against a response that a server broke off and that is passed on as a
+ * whole one. */
+static void test_end_of_response(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(end_cases); i++) {
+		const struct end_case *c = &end_cases[i];
+		int caller, server, end, k;
+
+		sfix_start(&fix, &e, CONF_UPLOAD);
+		strbuf_init(&upload);
+		strbuf_init(&request);
+		strbuf_init(&response);
+		strbuf_init(&received);
+		strbuf_addf(&upload,
+			    "POST /x HTTP/1.1\r\nHost: h\r\n"
+			    "X-Request-Id: q1\r\nX-Deadline-Ms: 7000\r\n"
+			    "Content-Length: %d\r\n\r\n",
+			    UPLOAD_BYTES);
+		strbuf_grow(&upload, UPLOAD_BYTES);
+		memset(upload.ptr + upload.len, 'u', UPLOAD_BYTES);
+		upload.len += UPLOAD_BYTES;
+		strbuf_addf(&response,
+			    "HTTP/1.1 %d X\r\nX-Request-Id: q1\r\n%s\r\n",
+			    c->status, c->framing);
+		for (k = 0; k < c->body_bytes; k++)
+			strbuf_add_char(&response, 'r');
+
+		caller = sfix_connect_caller(&fix);
+		exchange(caller, -1, false, &request, 20);
+		server = sfix_accept(&fix);
+		assert_true(server >= 0);
+		for (k = 0;
+		     k < 400 && c->reads_request && request.len < UPLOAD_BYTES;
+		     k++)
+			exchange(caller, server, true, &request, 1);
+		exchange(caller, server, c->reads_request, &request, 4);
+		assert_int_equal(send(server, response.ptr, response.len, 0),
+				 response.len);
+		exchange(caller, server, c->reads_request, &request, 4);
+		end_connection(server, c->end);
+		sfix_run(&fix, c->end == END_STALL ? STALL_MS : 30);
+		end = sfix_receive(caller, &received);
+		if (classify(c, end) != c->got)
+			fail_msg("%s: got %d, %zu bytes, end %d: %.*s", c->name,
+				 classify(c, end), received.len, end,
+				 (int)(received.len < 60 ? received.len : 60),
+				 received.ptr);
+		if (c->end != END_RESET)
+			close(server);
+		close(caller);
+		sfix_stop(&fix);
+		strbuf_free(&upload);
+		strbuf_free(&request);
+		strbuf_free(&response);
+		strbuf_free(&received);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_end_of_response),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
