Edge: a planned stop leaves no request without a response

Cause: the event loop ended at a fixed time, whatever was left. Requests that were never sent to a server had no response, queued ones were sent until then, and the VM counted as drained while up to 256 KB of a response were unsent.

The new module graceful_stop owns the stop. Once no more requests are taken, all that the VM has not sent are refused as not run, and none is sent any more, so that only requests at servers can be left at the end; these get 502. The VM is drained when it has had no request and no unread or unsent bytes for 0.3 s.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -11,6 +11,7 @@
 #include "edge_caller_connection.h"
 #include "edge_listeners.h"
 #include "exit_codes.h"
+#include "graceful_stop.h"
 #include "edge_backend_connection.h"
 #include "backend_load.h"
 #include "logs.h"
@@ -25,12 +26,6 @@
 /* Reads of the store that fail for this long count as an outage, during which
  * rows of servers may have expired in the store. */
 #define OUTAGE_NS (2 * NS_PER_S)
-/* The process ends this long before the platform kills it. */
-#define GRACE_MARGIN_NS (500 * NS_PER_MS)
-/* Part of the grace period in which new requests are still accepted, as callers
- * cache this VM's address for a while. The rest is for requests in flight. */
-#define LEAVE_ACCEPT_PERMILLE 400
-
 uint64_t edge_key(struct str name)
 {
 	uint64_t key = str_hash(name);
@@ -106,25 +101,10 @@
 	return s;
 }
 
-bool edge_accepts_requests(const struct edge *e)
-{
-	return !e->leaving ||
-	       e->ev.now_ns - e->leave_ns <
-		       e->settings.grace_ns * LEAVE_ACCEPT_PERMILLE / 1000;
-}
-
-static bool is_drained(const struct edge *e)
-{
-	if (e->ev.now_ns - e->leave_ns >=
-	    e->settings.grace_ns - GRACE_MARGIN_NS)
-		return true;
-	return !edge_accepts_requests(e) && !e->requests.len;
-}
-
 /* Runs the systems. The sweeps come after the others: they remove the rows of
  * requests and connections that have ended, to which the events of this batch
  * and the other systems may refer. */
-static void tick(void *ctx, int64_t now_ns)
+void edge_tick(void *ctx, int64_t now_ns)
 {
 	struct edge *e = ctx;
 
@@ -132,6 +112,7 @@
 	srv_tick(e, now_ns);
 	req_tick(e, now_ns);
 	cconn_tick(e);
+	stop_tick(e, now_ns);
 	req_sweep(e);
 	bconn_sweep(e);
 	cconn_sweep(e);
@@ -139,15 +120,9 @@
 		e->ready_announced = true;
 		emsg_send_members(e, true);
 	}
-	if (!e->leaving)
-		return;
-	if (!edge_accepts_requests(e))
-		lsn_stop_accepting(e);
-	if (is_drained(e))
-		e->ev.stop = true;
 }
 
-static int64_t next_due(void *ctx)
+int64_t edge_next_due(void *ctx)
 {
 	const struct edge *e = ctx;
 	int64_t due = req_next_due(e);
@@ -158,6 +133,9 @@
 	if (other < due)
 		due = other;
 	other = call_next_due(e);
+	if (other < due)
+		due = other;
+	other = stop_next_due(e);
 	return other < due ? other : due;
 }
 
@@ -178,18 +156,7 @@
 		rset_reload(e);
 		return;
 	}
-	if (e->leaving)
-		return;
-	logs_event(LOGS_INFO, "stop",
-		   (struct logs_field[]){
-			   LOGS_INT("signal", number),
-			   LOGS_INT("requests", e->requests.len),
-			   LOGS_INT("connections", e->caller_conns.len),
-		   },
-		   3);
-	e->leaving = true;
-	e->leave_ns = e->ev.now_ns;
-	emsg_send_members(e, true);
+	stop_begin(e, number);
 }
 
 void edge_init_tables(struct edge *e)
@@ -294,8 +261,8 @@
 int edge_run(struct edge *e, const struct edge_opts *opts)
 {
 	struct ev_opts loop = {
-		.tick = tick,
-		.next_due = next_due,
+		.tick = edge_tick,
+		.next_due = edge_next_due,
 		.signal = on_signal,
 		.ctx = e,
 	};
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -437,8 +437,11 @@
 	int64_t start_ns;
 	/* The other VMs were notified that this VM is ready. */
 	bool ready_announced;
+	/* Graceful stop: since leave_ns; when there was work for the last time.
+	 */
 	bool leaving;
 	int64_t leave_ns;
+	int64_t last_work_ns;
 };
 
 /* Hash of the name of a zone, region, VM or backend server; never 0. */
@@ -449,8 +452,6 @@
 /* True when the addresses for callers should include this VM: it has state and
  * is not leaving. */
 bool edge_is_ready(const struct edge *e);
-/* False in the last part of a graceful stop. */
-bool edge_accepts_requests(const struct edge *e);
 /* True when both the configuration and the servers are known. */
 bool edge_has_state(const struct edge *e);
 /* Takes ownership of conf; puts it in force if it is newer than the current
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -243,6 +243,20 @@
 	return c ? c->out.len - c->out_sent : 0;
 }
 
+bool cconn_any_unfinished(const struct edge *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->caller_conns.len; i++) {
+		const struct cconn_row *c = tab_at(&e->caller_conns, i);
+
+		if (!c->closed && (c->state != CCONN_READING_HEAD ||
+				   c->in.len || c->out.len > c->out_sent))
+			return true;
+	}
+	return false;
+}
+
 static void consume(struct strbuf *in, size_t n)
 {
 	memmove(in->ptr, in->ptr + n, in->len - n);
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -84,6 +84,9 @@
 void cconn_reset(struct edge *e, struct hnd caller);
 /* Bytes of the response that are not yet written to the socket. */
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller);
+/* True if a connection has received a part of a request, or has a response to
+ * send. */
+bool cconn_any_unfinished(const struct edge *e);
 /* Resumes reading a request body if that is paused. */
 void cconn_resume(struct edge *e, struct hnd caller);
 
--- a/src/edge/edge_run.h
+++ b/src/edge/edge_run.h
@@ -19,4 +19,9 @@
  */
 int edge_run(struct edge *e, const struct edge_opts *opts);
 
+/* Callbacks of the event loop, for ev_opts: the systems in their order, and
+ * when they are to run next. */
+void edge_tick(void *ctx, int64_t now_ns);
+int64_t edge_next_due(void *ctx);
+
 #endif
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -9,6 +9,7 @@
 #include "edge_outlier_detection.h"
 #include "logs.h"
 #include "edge_load_balancing.h"
+#include "graceful_stop.h"
 #include "request_check.h"
 #include "request_internal.h"
 
@@ -243,7 +244,7 @@
 	if (!chk_deadline(hreq_header(head, e->headers->deadline_ms), start_ns,
 			  &deadline_ns))
 		return refuse_unrouted(e, caller, head, 400, "bad deadline");
-	if (!edge_accepts_requests(e))
+	if (!stop_accepts_requests(e))
 		return refuse_unrouted(e, caller, head, 503, "VM is stopping");
 	if (awaits_first_conf(e)) {
 		h = add_request(e, caller, head, start_ns, deadline_ns);
@@ -435,8 +436,11 @@
 bool req_can_dispatch(struct edge *e, const struct req_row *r)
 {
 	struct admit_request admission = make_admit_request(e, r);
-	struct pick pick = pick_server(e, r, admit_max_load(&admission));
+	struct pick pick;
 
+	if (!stop_accepts_requests(e))
+		return false;
+	pick = pick_server(e, r, admit_max_load(&admission));
 	admission.load = pick.load;
 	return pick.result == PICK_FOUND &&
 	       admit_decide(&admission) == ADMIT_SEND;
@@ -453,6 +457,10 @@
 		req_refuse(e, r, 503, "no time left");
 		return;
 	}
+	if (!stop_accepts_requests(e)) {
+		req_give_up(e, r, "VM is stopping");
+		return;
+	}
 	pick = pick_server(e, r, admit_max_load(&admission));
 	if (pick.result == PICK_FULL) {
 		enqueue(r, recheck_time(e, pick.busy_until_ns));
@@ -527,6 +535,35 @@
 	req_finish(e, r);
 }
 
+void req_refuse_unsent(struct edge *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->requests.len; i++) {
+		struct req_row *r = tab_at(&e->requests, i);
+
+		if (r->state < REQ_SENT)
+			req_give_up(e, r, "VM is stopping");
+	}
+}
+
+void req_cut_all(struct edge *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->requests.len; i++) {
+		struct req_row *r = tab_at(&e->requests, i);
+
+		if (r->state == REQ_DONE)
+			continue;
+		r->may_have_run |= bconn_sent_bytes(e, r->backend_conn) > 0;
+		if (r->state == REQ_RELAYING)
+			req_truncate(e, r);
+		else
+			req_give_up(e, r, "VM is stopping");
+	}
+}
+
 void req_caller_writable(struct edge *e, struct hnd h)
 {
 	const struct req_row *r = req_get(e, h);
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -64,6 +64,12 @@
 			enum hlth_outcome outcome, const char *why,
 			bool may_have_run);
 
+/* Refuses the requests that were not sent to a backend server. */
+void req_refuse_unsent(struct edge *e);
+/* Ends all requests: those that may have run with 502, or with a reset if a
+ * part of the response was sent. */
+void req_cut_all(struct edge *e);
+
 /* Handles timeouts, and requests that wait for capacity or for the first
  * configuration. */
 void req_tick(struct edge *e, int64_t now_ns);
--- a/tests/edge_socket_fixture.h
+++ b/tests/edge_socket_fixture.h
@@ -12,7 +12,7 @@
 #include "edge_backend_connection.h"
 #include "edge_caller_connection.h"
 #include "edge_fixture.h"
-#include "edge_listeners.h"
+#include "edge_run.h"
 #include "request.h"
 
 /*
@@ -105,16 +105,19 @@
 	close(f->server_fd);
 }
 
-/* A caller's connection; returns its non-blocking socket. */
+/* A caller's connection; returns its non-blocking socket. Small buffers, so
+ * that the process holds what the caller does not read. */
 static inline int sfix_connect_caller(struct sfix *f)
 {
-	int listener = sfix_listen();
+	int listener = sfix_listen(), bytes = 16384;
 	struct sockaddr_in addr = sfix_address(listener);
 	int fd = socket(AF_INET, SOCK_STREAM, 0), accepted;
 
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
 	if (connect(fd, (void *)&addr, sizeof(addr)))
 		abort();
 	accepted = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	setsockopt(accepted, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
 	close(listener);
 	fcntl(fd, F_SETFL, O_NONBLOCK);
 	cconn_add(f->e, EDGE_LISTENER_CALLERS, accepted);
@@ -134,38 +137,37 @@
 struct sfix_loop {
 	struct edge *e;
 	int64_t until_ns;
+	/* The process has ended. */
+	bool ended;
 };
 
 static inline void sfix_tick(void *ctx, int64_t now_ns)
 {
 	struct sfix_loop *loop = ctx;
 
-	req_tick(loop->e, now_ns);
-	cconn_tick(loop->e);
-	req_sweep(loop->e);
-	bconn_sweep(loop->e);
-	cconn_sweep(loop->e);
-	loop->e->ev.stop = now_ns >= loop->until_ns;
+	edge_tick(loop->e, now_ns);
+	loop->ended |= loop->e->ev.stop;
+	loop->e->ev.stop |= now_ns >= loop->until_ns;
 }
 
 static inline int64_t sfix_next_due(void *ctx)
 {
 	struct sfix_loop *loop = ctx;
-	int64_t due = req_next_due(loop->e);
+	int64_t due = edge_next_due(loop->e);
 
-	if (loop->e->caller_input_pending)
-		return loop->e->ev.now_ns;
 	return due < loop->until_ns ? due : loop->until_ns;
 }
 
-static inline void sfix_run(struct sfix *f, int ms)
+/* True if the process ended. */
+static inline bool sfix_run(struct sfix *f, int ms)
 {
-	struct sfix_loop loop = {f->e, tmr_now() + ms * NS_PER_MS};
+	struct sfix_loop loop = {f->e, tmr_now() + ms * NS_PER_MS, false};
 
 	f->e->ev.stop = false;
 	ev_run(&f->e->ev, &(struct ev_opts){.tick = sfix_tick,
 					    .next_due = sfix_next_due,
 					    .ctx = &loop});
+	return loop.ended;
 }
 
 /* Appends what the socket holds; 0 once the peer has closed it, an error number
--- a/tests/test_edge_response_end.c
+++ b/tests/test_edge_response_end.c
@@ -117,6 +117,20 @@
 	return GOT_WHOLE;
 }
 
+/* Reads until the response is whole or its end is known; the last error of
+ * sfix_receive(). */
+static int receive_response(const struct end_case *c, int caller)
+{
+	int end = EAGAIN, rounds = 100;
+
+	while (rounds-- > 0 && end == EAGAIN &&
+	       classify(c, end) == GOT_INCOMPLETE) {
+		end = sfix_receive(caller, &received);
+		sfix_run(&fix, 5);
+	}
+	return end;
+}
+
 /* Guards against a response that a server broke off and that is passed on as a
  * whole one. */
 static void test_end_of_response(void **state)
@@ -161,7 +175,7 @@
 		exchange(caller, server, c->reads_request, &request, 4);
 		end_connection(server, c->end);
 		sfix_run(&fix, c->end == END_STALL ? STALL_MS : 30);
-		end = sfix_receive(caller, &received);
+		end = receive_response(c, caller);
 		if (classify(c, end) != c->got)
 			fail_msg("%s: got %d, %zu bytes, end %d: %.*s", c->name,
 				 classify(c, end), received.len, end,
