Edge: one VM's partition from the store is no outage

Cause: a VM that could not read the store for 2 s assumed an outage, in which rows of live servers expire, and told so in its notices. All VMs of its region then kept servers without a row for 2.2 s, longer than the drain.

The new module store_availability combines the reads of all VMs of a region. An outage needs 2 s without a successful read by any of them; notices carry since when the store has been available without a gap, and when it was last read. The VMs that read in place of a partitioned one correct it. Whether a missing server is gone is decided at each tick, so a refuted outage has no lasting effect.

Notices have three more fields: the message format is 3.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -5,10 +5,6 @@
 
 #include "logs.h"
 
-/* Time after an outage of the store in which servers whose rows expired
- * register again; servers without a row are kept for as long. */
-#define REREGISTER_NS (2200 * NS_PER_MS)
-
 bool srv_is_valid_id(struct str id)
 {
 	size_t i;
@@ -220,18 +216,14 @@
 	s->seq = r->seq;
 	s->version = r->version;
 	s->slow_start_until_ns = e->ev.now_ns + r->slow_start_left_ns;
-	s->missing_until_ns = 0;
+	s->missing = false;
 }
 
 static void start_removal(struct edge *e, struct srv_row *s)
 {
-	int64_t earliest = e->store_recovered_ns
-				   ? e->store_recovered_ns + REREGISTER_NS
-				   : 0;
-
-	if (s->state == SRV_GONE || s->missing_until_ns)
+	if (s->state == SRV_GONE || s->missing)
 		return;
-	s->missing_until_ns = e->ev.now_ns < earliest ? earliest : e->ev.now_ns;
+	s->missing = true;
 	e->server_removal_pending = true;
 	log_server(s, "missing");
 }
@@ -275,6 +267,7 @@
 
 void srv_tick(struct edge *e, int64_t now_ns)
 {
+	int64_t registered_ns = avail_registered_ns(&e->store);
 	uint32_t i = e->servers.len;
 
 	if (!e->server_removal_pending)
@@ -283,13 +276,12 @@
 	while (i-- > 0) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
-		if (s->missing_until_ns && s->missing_until_ns <= now_ns) {
+		if (s->missing && registered_ns <= now_ns) {
 			s->state = SRV_GONE;
-			s->missing_until_ns = 0;
+			s->missing = false;
 			log_server(s, "gone");
 		}
-		e->server_removal_pending |= s->missing_until_ns ||
-					     s->state == SRV_GONE;
+		e->server_removal_pending |= s->missing || s->state == SRV_GONE;
 		if (s->state != SRV_GONE || s->in_flight || s->idle_connections)
 			continue;
 		remove_from_service(e, s);
@@ -301,14 +293,13 @@
 
 int64_t srv_next_due(const struct edge *e)
 {
-	int64_t due = TMR_NEVER;
 	uint32_t i;
 
 	for (i = 0; e->server_removal_pending && i < e->servers.len; i++) {
 		const struct srv_row *s = tab_at(&e->servers, i);
 
-		if (s->missing_until_ns && s->missing_until_ns < due)
-			due = s->missing_until_ns;
+		if (s->missing)
+			return avail_registered_ns(&e->store);
 	}
-	return due;
+	return TMR_NEVER;
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -23,9 +23,6 @@
 
 /* Interval at which idle connections and old reports are expired. */
 #define EXPIRE_PERIOD_NS (500 * NS_PER_MS)
-/* Reads of the store that fail for this long count as an outage, during which
- * rows of servers may have expired in the store. */
-#define OUTAGE_NS (2 * NS_PER_S)
 uint64_t edge_key(struct str name)
 {
 	uint64_t key = str_hash(name);
@@ -73,20 +70,6 @@
 	e->conf = conf;
 }
 
-void edge_record_store_read(struct edge *e, bool ok)
-{
-	int64_t now = e->ev.now_ns;
-
-	if (!ok && !e->store_failing_since_ns)
-		e->store_failing_since_ns = now;
-	if (!ok)
-		return;
-	if (e->store_failing_since_ns &&
-	    now - e->store_failing_since_ns >= OUTAGE_NS)
-		e->store_recovered_ns = now;
-	e->store_failing_since_ns = 0;
-}
-
 struct svc_row *edge_service(struct edge *e, uint64_t key)
 {
 	struct svc_row *s =
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,6 +8,7 @@
 #include "header_names.h"
 #include "edge_settings.h"
 #include "event_loop.h"
+#include "store_availability.h"
 
 #define EDGE_ID_BYTES 72
 /* Backend servers that a request remembers as tried. */
@@ -179,9 +180,9 @@
 	int64_t slow_start_until_ns;
 	/* When this VM discovered the incarnation. */
 	int64_t discovered_ns;
-	/* When a server that is no longer listed becomes SRV_GONE; 0 for
-	 * others. */
-	int64_t missing_until_ns;
+	/* The store does not list it any more. It becomes SRV_GONE once it
+	 * would have registered again if its row had expired in an outage. */
+	bool missing;
 	/* Requests and idle connections of this VM. */
 	uint32_t in_flight;
 	uint32_t idle_connections;
@@ -430,10 +431,7 @@
 	struct sync_state sync;
 	/* Number of the current full read of the servers. */
 	uint32_t read_generation;
-	/* First of the consecutive failed reads; 0 while reads succeed. */
-	int64_t store_failing_since_ns;
-	/* End of the last outage of the store; 0 for none. */
-	int64_t store_recovered_ns;
+	struct avail_state store;
 	int64_t start_ns;
 	/* The other VMs were notified that this VM is ready. */
 	bool ready_announced;
@@ -457,8 +455,6 @@
 /* Takes ownership of conf; puts it in force if it is newer than the current
  * one and frees it otherwise. */
 void edge_set_conf(struct edge *e, struct conf *conf);
-/* Records a read of the store and whether it succeeded. */
-void edge_record_store_read(struct edge *e, bool ok);
 /* Row of a service; added if there is none. */
 struct svc_row *edge_service(struct edge *e, uint64_t key);
 
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -12,11 +12,13 @@
 #include "edge_messages_internal.h"
 #include "backend_server.h"
 
-#define MESSAGE_FORMAT 2
+#define MESSAGE_FORMAT 3
 /* Fields of a message: format, kind and sender, and those of its kind. */
-#define MAX_FIELDS 8
+#define MAX_FIELDS 11
 /* Fields per service in a report of the retry budget. */
 #define BUDGET_COUNT_FIELDS 5
+/* Largest age in a message, one year; older ones are cut to it. */
+#define MAX_AGE_MS (INT64_C(366) * 24 * 3600 * 1000)
 /* Datagrams read per event; a bound, so that callers' requests are not
  * delayed. */
 #define READ_BATCH 64
@@ -186,22 +188,58 @@
 	emsg_send_to_peers(e, &d);
 }
 
-bool emsg_send_notice(struct edge *e, const struct sync_notice *n)
+static void put_age(struct mpk_writer *out, int64_t age_ns)
+{
+	int64_t age_ms = age_ns / NS_PER_MS;
+
+	mpk_put_int(out, age_ms < MAX_AGE_MS ? age_ms : MAX_AGE_MS);
+}
+
+static void put_availability(struct mpk_writer *out,
+			     const struct avail_report *r)
+{
+	mpk_put_uint(out, r->since_age_ns >= 0);
+	put_age(out, r->since_age_ns < 0 ? 0 : r->since_age_ns);
+	put_age(out, r->served_age_ns);
+	mpk_put_uint(out, r->after_outage);
+}
+
+static int64_t get_age(struct mpk_reader *in)
+{
+	return (int64_t)mpk_get_uint(in, 0, MAX_AGE_MS) * NS_PER_MS;
+}
+
+static void get_availability(struct mpk_reader *in, struct avail_report *r)
+{
+	bool known = mpk_get_uint(in, 0, 1) > 0;
+
+	r->since_age_ns = get_age(in);
+	if (!known)
+		r->since_age_ns = -1;
+	r->served_age_ns = get_age(in);
+	r->after_outage = mpk_get_uint(in, 0, 1) > 0;
+}
+
+bool emsg_send_notice(struct edge *e, const struct sync_notice *n,
+		      const struct vm_row *to)
 {
 	struct emsg_datagram d;
 	uint32_t i;
 
-	emsg_begin(e, &d, EMSG_NOTICE, 5);
+	emsg_begin(e, &d, EMSG_NOTICE, 8);
 	mpk_put_uint(&d.out, n->config_version);
 	mpk_put_uint(&d.out, n->from_version);
 	mpk_put_uint(&d.out, n->to_version);
-	mpk_put_int(&d.out, n->store_recovered_age_ns / NS_PER_MS);
+	put_availability(&d.out, &n->store);
 	mpk_put_array(&d.out, n->change_count);
 	for (i = 0; i < n->change_count; i++)
 		codec_put_change(&d.out, &n->changes[i]);
 	if (d.out.overflow)
 		return false;
-	emsg_send_to_peers(e, &d);
+	if (to)
+		emsg_send(e, &d, &to->message_addr);
+	else
+		emsg_send_to_peers(e, &d);
 	return true;
 }
 
@@ -214,8 +252,7 @@
 	n.config_version = mpk_get_uint(in, 0, UINT64_MAX);
 	n.from_version = mpk_get_uint(in, 0, UINT64_MAX);
 	n.to_version = mpk_get_uint(in, 0, UINT64_MAX);
-	n.store_recovered_age_ns =
-		(int64_t)mpk_get_uint(in, 0, INT64_MAX / NS_PER_MS) * NS_PER_MS;
+	get_availability(in, &n.store);
 	n.change_count = mpk_get_array_len(in, SYNC_MAX_NOTICE_CHANGES);
 	for (i = 0; i < n.change_count; i++)
 		codec_get_change(in, &n.changes[i]);
--- a/src/edge/edge_messages.h
+++ b/src/edge/edge_messages.h
@@ -31,9 +31,10 @@
 /* Sends the summary of this region to a few VMs of each other region, which
  * forward it within theirs. */
 void emsg_send_summary(struct edge *e, const struct load_summary *s);
-/* Broadcasts a change notice to the peers; false if it does not fit a
- * datagram. */
-bool emsg_send_notice(struct edge *e, const struct sync_notice *n);
+/* Sends a change notice to a VM, or to all peers if that is NULL; false if it
+ * does not fit a datagram. */
+bool emsg_send_notice(struct edge *e, const struct sync_notice *n,
+		      const struct vm_row *to);
 /* Gossips membership to a few VMs; if urgent, to all peers and to one VM of
  * another region. */
 void emsg_send_members(struct edge *e, bool urgent);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -178,7 +178,7 @@
  * soon. */
 static bool awaits_first_conf(const struct edge *e)
 {
-	return !edge_has_state(e) && !e->store_failing_since_ns &&
+	return !edge_has_state(e) && !e->store.failing_since_ns &&
 	       e->ev.now_ns - e->start_ns < FIRST_CONF_WAIT_NS;
 }
 
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -76,7 +76,7 @@
 {
 	int64_t slow_start_left_ns = s->slow_start_until_ns - e->ev.now_ns;
 
-	change->missing = s->state == SRV_GONE || s->missing_until_ns;
+	change->missing = s->state == SRV_GONE || s->missing;
 	change->report = (struct srv_report){
 		.id = str_from(s->id),
 		.service = s->service,
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -17,6 +17,8 @@
 #define RANK_2_TAKEOVER_NS (1250 * NS_PER_MS)
 #define RANK_3_TAKEOVER_NS (1450 * NS_PER_MS)
 #define TAKEOVER_JITTER_NS (300 * NS_PER_MS)
+/* VMs up to this rank read the store in place of a reader that cannot. */
+#define LAST_CORRECTING_RANK 2
 /* VMs of a region that long-poll for changes of the configuration. */
 #define CONFIG_READERS 2
 /* Longest time that the store holds a long poll without a change. A lost
@@ -185,29 +187,32 @@
 	       (int64_t)(edge_random(e) % (uint64_t)delay) / 2;
 }
 
+static struct sync_notice make_notice(const struct edge *e, uint64_t from,
+				      uint64_t to)
+{
+	return (struct sync_notice){
+		.config_version = e->conf->version,
+		.from_version = from,
+		.to_version = to,
+		.store = avail_report(&e->store, e->ev.now_ns),
+	};
+}
+
 /* Sends a notice that changes[first..last) are all those between two versions
  * of the store; false if it does not fit a message. */
 static bool try_send_notice(struct edge *e, uint64_t from, uint64_t to,
 			    uint32_t first, uint32_t last)
 {
 	const struct sync_changes *c = &e->sync.changes;
-	struct sync_notice n = {
-		.config_version = e->conf->version,
-		.from_version = from,
-		.to_version = to,
-		.store_recovered_age_ns =
-			e->store_recovered_ns
-				? e->ev.now_ns - e->store_recovered_ns
-				: 0,
-		.change_count = last - first,
-	};
+	struct sync_notice n = make_notice(e, from, to);
 	uint32_t i;
 
+	n.change_count = last - first;
 	for (i = first; i < last; i++) {
 		n.changes[i - first] = c->changes[i];
 		n.changes[i - first].report.id = str_from(c->changes[i].id);
 	}
-	return emsg_send_notice(e, &n);
+	return emsg_send_notice(e, &n, NULL);
 }
 
 /* Version of the store after the kept change before that index. */
@@ -323,7 +328,7 @@
 {
 	struct sync_state *s = &e->sync;
 
-	edge_record_store_read(e, false);
+	avail_on_read(&e->store, e->ev.now_ns, false);
 	if (!s->servers_failing)
 		log_store_state(e, "servers", "lost", true);
 	s->servers_failing = true;
@@ -354,7 +359,7 @@
 		on_servers_read_failed(e);
 		return;
 	}
-	edge_record_store_read(e, true);
+	avail_on_read(&e->store, e->ev.now_ns, true);
 	s->servers_backoff_ns = RETRY_DELAY_MIN_NS;
 	if (s->servers_failing) {
 		log_store_state(e, "servers", "regained", false);
@@ -541,12 +546,26 @@
 		});
 }
 
+/* Tells a VM that the store was available while it could not read it, by a
+ * notice without changes. Only the VMs that read in its place do so. */
+static void correct_reader(struct edge *e, const struct vm_row *to)
+{
+	struct sync_notice n;
+
+	if (!edge_has_state(e) || sync_rank(e) > LAST_CORRECTING_RANK)
+		return;
+	n = make_notice(e, e->sync.servers_version, e->sync.servers_version);
+	emsg_send_notice(e, &n, to);
+}
+
 void sync_on_notice(struct edge *e, const struct vm_row *from,
 		    const struct sync_notice *n)
 {
 	struct sync_state *s = &e->sync;
 	uint32_t i;
 
+	if (!avail_on_report(&e->store, e->ev.now_ns, &n->store))
+		correct_reader(e, from);
 	/* Checked before the notice is ignored for outdated changes: a VM of
 	 * rank 1 that announces a new configuration may have an older table of
 	 * servers than this VM. */
@@ -557,10 +576,6 @@
 	}
 	if (n->to_version < s->servers_version)
 		return;
-	if (n->store_recovered_age_ns &&
-	    e->ev.now_ns - n->store_recovered_age_ns > e->store_recovered_ns)
-		e->store_recovered_ns =
-			e->ev.now_ns - n->store_recovered_age_ns;
 	for (i = 0; i < n->change_count; i++)
 		codec_apply_change(e, &n->changes[i]);
 	if (n->to_version > s->servers_version && !s->reading_servers) {
--- a/src/edge/store_sync.h
+++ b/src/edge/store_sync.h
@@ -43,9 +43,7 @@
 	/* All changes of servers after from_version, up to to_version. */
 	uint64_t from_version;
 	uint64_t to_version;
-	/* Time since the store recovered from its last outage; 0 if there was
-	 * none. */
-	int64_t store_recovered_age_ns;
+	struct avail_report store;
 	uint32_t change_count;
 	struct srv_change changes[SYNC_MAX_NOTICE_CHANGES];
 };
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -122,17 +122,24 @@
  * on the first read of a VM, or after a single failed read. */
 static void test_missing_after_outage(void **state)
 {
+	static const struct avail_report available = {
+		.since_age_ns = 60 * NS_PER_S,
+		.served_age_ns = NS_PER_S,
+	};
 	static const struct {
 		const char *name;
 		/* How long reads failed; -1 if none came before. */
 		int failed_ms;
+		/* Then a VM reports that the store was available. */
+		bool reported;
 		/* The server is kept for a time after its row is missing. */
 		bool kept;
 	} cases[] = {
-		{"first read", -1, false},
-		{"no failure", 0, false},
-		{"one failure", 300, false},
-		{"outage", 5000, true},
+		{"first read", -1, false, false},
+		{"no failure", 0, false, false},
+		{"one failure", 300, false, false},
+		{"outage", 5000, false, true},
+		{"no outage, as another VM reports", 5000, true, false},
 	};
 	size_t i;
 
@@ -141,14 +148,17 @@
 		fix_init(&e);
 		fix_server(&e, "i-0", "z0");
 		if (cases[i].failed_ms >= 0)
-			edge_record_store_read(&e, true);
+			avail_on_read(&e.store, e.ev.now_ns, true);
 		if (cases[i].failed_ms > 0) {
-			edge_record_store_read(&e, false);
+			avail_on_read(&e.store, e.ev.now_ns, false);
 			fix_advance(&e, cases[i].failed_ms * NS_PER_MS);
 		}
-		edge_record_store_read(&e, true);
+		avail_on_read(&e.store, e.ev.now_ns, true);
 		srv_set_missing(&e, STR("i-0"), 2);
 		srv_tick(&e, e.ev.now_ns);
+		if (cases[i].reported)
+			avail_on_report(&e.store, e.ev.now_ns, &available);
+		srv_tick(&e, e.ev.now_ns);
 		if (!e.servers.len == cases[i].kept)
 			fail_msg("%s: %d servers kept", cases[i].name,
 				 (int)e.servers.len);
