Edge: retries of a VM count for a whole window, also after its end

Cause: only the VM that sent a retry knew of it for the window; its peers kept its counts for 3 s. After a kill, the retries were forgotten, and the VMs that started again spent their part of the budget once more. A VM that knew no other took the whole fixed number. Related: just after its own report, a VM assumed that its peers had sent no retries since theirs.

Peers now keep the last report of a process that ended for a whole window, and pass the sum on with their own reports. A VM that starts makes no retry before it has the reports of its peers, one of them by a VM that has run for a window, unless the setting first_start says that there was no fleet before. Counts are reported after three retries, in the next load report. A part of the fixed number is one of all VMs of the last minute.

--- a/src/edge/backend_load.c
+++ b/src/edge/backend_load.c
@@ -17,8 +17,6 @@
 #define REPORT_INTERVAL_VMS 24
 /* Intervals after which a report expires. */
 #define REPORT_LIFETIME_INTERVALS 12
-/* Interval between two reports with the counts of the retry budget. */
-#define BUDGET_INTERVAL_NS NS_PER_S
 #define SUMMARY_INTERVAL_NS (250 * NS_PER_MS)
 /* Time after which a region's summary expires. */
 #define SUMMARY_LIFETIME_NS (2 * NS_PER_S)
@@ -165,7 +163,7 @@
 			   struct bud_report *out)
 {
 	memset(out, 0, sizeof(*out));
-	if (e->ev.now_ns - self->budget_report_ns < BUDGET_INTERVAL_NS)
+	if (!bud_is_report_due(e, self->budget_report_ns))
 		return;
 	bud_collect(e, out);
 	self->budget_report_ns = e->ev.now_ns;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -190,6 +190,7 @@
 	e->incarnation =
 		(uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
 	e->start_ns = e->ev.now_ns;
+	e->budget_known = e->settings.first_start;
 	e->zone = edge_key(e->settings.zone);
 	e->region = edge_key(e->settings.region);
 	e->self = edge_key(e->settings.id);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -38,10 +38,15 @@
 	 * sends a successful response. */
 	uint32_t recent_requests;
 	uint32_t recent_failures;
+	/* Retries of the window by VMs that have ended or are silent, as far
+	 * as this VM knows. */
+	uint32_t lost_retries;
 };
 
 /* Counts that a VM sends to its peers. */
 struct bud_report {
+	/* The VM has heard its peers for a whole window. */
+	bool whole_window;
 	uint32_t count;
 	struct bud_count counts[BUD_MAX_SERVICES];
 };
@@ -356,6 +361,10 @@
 	 * of this VM has the time only, of the last report that it sent. */
 	struct bud_report budget;
 	int64_t budget_report_ns;
+	/* The process that sent it, and the counts of those before. */
+	uint64_t budget_incarnation;
+	struct bud_report former_budget;
+	int64_t former_budget_ns;
 };
 
 /* Load of a service in another region, from that region's summary. */
@@ -409,6 +418,8 @@
 	/* Calls to the store and to other VMs. */
 	struct tab calls;
 	struct tab region_services;
+	/* This VM knows the retries that VMs sent before it started. */
+	bool budget_known;
 	/* Last load report to the VMs of this zone, which get more reports
 	 * than the others, and when all were last due to get one. The row of
 	 * this VM holds the last report to all. */
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -16,7 +16,7 @@
 /* Fields of a message: format, kind and sender, and those of its kind. */
 #define MAX_FIELDS 11
 /* Fields per service in a report of the retry budget. */
-#define BUDGET_COUNT_FIELDS 5
+#define BUDGET_COUNT_FIELDS 6
 /* Largest age in a message, one year; older ones are cut to it. */
 #define MAX_AGE_MS (INT64_C(366) * 24 * 3600 * 1000)
 /* Datagrams read per event; a bound, so that callers' requests are not
@@ -264,6 +264,7 @@
 {
 	uint32_t i;
 
+	mpk_put_uint(out, r->whole_window);
 	mpk_put_array(out, r->count * BUDGET_COUNT_FIELDS);
 	for (i = 0; i < r->count; i++) {
 		mpk_put_uint(out, r->counts[i].service);
@@ -271,6 +272,7 @@
 		mpk_put_uint(out, r->counts[i].retries);
 		mpk_put_uint(out, r->counts[i].recent_requests);
 		mpk_put_uint(out, r->counts[i].recent_failures);
+		mpk_put_uint(out, r->counts[i].lost_retries);
 	}
 }
 
@@ -279,6 +281,7 @@
 	uint32_t i;
 
 	memset(r, 0, sizeof(*r));
+	r->whole_window = mpk_get_uint(in, 0, 1) > 0;
 	r->count =
 		mpk_get_array_len(in, BUD_MAX_SERVICES * BUDGET_COUNT_FIELDS) /
 		BUDGET_COUNT_FIELDS;
@@ -292,6 +295,8 @@
 			(uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 		r->counts[i].recent_failures =
 			(uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+		r->counts[i].lost_retries =
+			(uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 	}
 }
 
@@ -314,7 +319,8 @@
 	struct emsg_datagram d;
 	uint32_t i;
 
-	emsg_begin(e, &d, EMSG_LOAD, 2);
+	emsg_begin(e, &d, EMSG_LOAD, 4);
+	mpk_put_uint(&d.out, e->incarnation);
 	put_budget(&d.out, budget);
 	mpk_put_array(&d.out, r->count * 2);
 	for (i = 0; i < r->count; i++) {
@@ -332,6 +338,7 @@
 	struct vm_row *from = vm_find(e, sender);
 	struct bud_report budget;
 	struct load_report r;
+	uint64_t incarnation = mpk_get_uint(in, 0, UINT64_MAX);
 	uint32_t i;
 
 	get_budget(in, &budget);
@@ -345,7 +352,7 @@
 		return;
 	load_on_report(e, from, &r);
 	if (budget.count)
-		bud_on_report(e, from, &budget);
+		bud_on_report(e, from, incarnation, &budget);
 }
 
 static void put_summary(struct edge *e, struct emsg_datagram *d,
--- a/src/edge/edge_retry_budget.h
+++ b/src/edge/edge_retry_budget.h
@@ -10,6 +10,11 @@
  * only a few VMs use a server that has just become faulty. A VM without
  * reports of its peers is limited by its own requests and an equal part of the
  * fixed number.
+ *
+ * Retries count for a whole window, also those of VMs that end or fall silent:
+ * their peers keep the counts and report them. A VM that starts makes no retry
+ * until it has these counts or has run for a window, unless the whole fleet
+ * starts for the first time.
  */
 
 /* Counts a request. */
@@ -25,11 +30,14 @@
 /* True when the budget can cover the retry after a failed trial of an ejected
  * server; counts nothing. */
 bool bud_allows_trial(struct edge *e, struct svc_row *svc);
+/* True when the peers should get a report: once a second, and sooner after some
+ * retries, which would be forgotten if this VM ended. */
+bool bud_is_report_due(const struct edge *e, int64_t last_report_ns);
 /* Collects the counts of this VM for a report, and marks its retries as
  * reported. */
 void bud_collect(struct edge *e, struct bud_report *out);
-/* Handles a report of a peer, which replaces its last one. */
-void bud_on_report(struct edge *e, struct vm_row *from,
+/* Handles a report of a peer, by its process of that incarnation. */
+void bud_on_report(struct edge *e, struct vm_row *from, uint64_t incarnation,
 		   const struct bud_report *r);
 
 #endif
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -197,6 +197,7 @@
 	{"retry_slack", CFG_INT, offsetof(struct eset, retry_slack), 0,
 	 1000000},
 	{"retry_window", CFG_CUSTOM, 0, .read = read_window},
+	{"first_start", CFG_BOOL, offsetof(struct eset, first_start)},
 	{"floor", CFG_CUSTOM, 0, .read = read_floor},
 	{"log_level", CFG_ENUM, offsetof(struct eset, log_level), 0, 0, false,
 	 log_levels},
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -50,6 +50,8 @@
 	/* Retries of the whole fleet in each window beyond that ratio. */
 	int64_t retry_slack;
 	int64_t retry_window_ns;
+	/* The fleet starts for the first time: there were no retries before. */
+	bool first_start;
 	/* Floor: minimum share of a service's servers that stays in use, in
 	 * thousandths. */
 	int64_t floor_permille;
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -441,7 +441,7 @@
 			snprintf(id, sizeof(id), "vm%d", k);
 			m = fix_record(id, "z0", "r0");
 			vm_merge(&e, &m);
-			bud_on_report(&e, vm_find(&e, m.key), &r);
+			bud_on_report(&e, vm_find(&e, m.key), 1, &r);
 		}
 		fix_advance(&e, cases[i].age_ms * NS_PER_MS);
 		for (k = 1; k < cases[i].vms; k++) {
@@ -513,7 +513,7 @@
 						&vms[k],
 						vm_find(&vms[k],
 							edge_key(str_from(id))),
-						&r);
+						1, &r);
 		}
 	/* 0.2 of the requests and the fixed number. */
 	if (total > VMS * REQUESTS / 5 + 10)
