Edge: the memory of a connection is bounded by its unsent bytes

A VM held 20 MB for one connection while a server sent a body without an end; an operator reported a machine that ran out of memory so. Any long response to a caller that reads more slowly than the server sends did the same.

Cause: sent bytes left the output buffer only when all bytes were sent. Reading pauses at 256 KB of unsent bytes, so the buffer need not become empty, and kept all that had been relayed.

Evidence: test_endless_responses plays 14 heads and bodies without an end, with a caller that reads and one that does not.

--- a/src/counted_string.c
+++ b/src/counted_string.c
@@ -195,6 +195,15 @@
 	strbuf_add(sb, s);
 }
 
+void strbuf_remove(struct strbuf *sb, size_t n)
+{
+	if (!n)
+		return;
+	memmove(sb->ptr, sb->ptr + n, sb->len - n);
+	sb->len -= n;
+	sb->ptr[sb->len] = '\0';
+}
+
 struct str strbuf_view(const struct strbuf *sb)
 {
 	struct str s = {sb->ptr, sb->len};
--- a/src/counted_string.h
+++ b/src/counted_string.h
@@ -68,6 +68,8 @@
 	__attribute__((format(printf, 2, 3), nonnull(2)));
 /* Replaces the contents; s must not point into sb. */
 void strbuf_set(struct strbuf *sb, struct str s);
+/* Removes the first n bytes. */
+void strbuf_remove(struct strbuf *sb, size_t n);
 /* Returns a view that is valid until the next change of sb. */
 struct str strbuf_view(const struct strbuf *sb);
 const char *strbuf_cstr(const struct strbuf *sb);
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -10,6 +10,7 @@
 #include "backend_progress.h"
 #include "metrics.h"
 #include "logs.h"
+#include "output_buffer.h"
 #include "request.h"
 #include "server_signals.h"
 
@@ -218,11 +219,7 @@
 		c->out_sent += (size_t)n;
 		c->sent_bytes += (uint64_t)n;
 	}
-	if (c->out_sent == c->out.len) {
-		strbuf_free(&c->out);
-		strbuf_init(&c->out);
-		c->out_sent = 0;
-	}
+	out_remove_sent(&c->out, &c->out_sent);
 	set_events(e, c, h);
 }
 
@@ -260,12 +257,6 @@
 		close_connection(e, c);
 }
 
-static void consume(struct strbuf *in, size_t n)
-{
-	memmove(in->ptr, in->ptr + n, in->len - n);
-	in->len -= n;
-}
-
 static void fail_attempt(struct edge *e, struct bconn_row *c,
 			 enum hlth_outcome outcome, const char *why)
 {
@@ -368,7 +359,7 @@
 	if (!len)
 		return STEP_WAIT;
 	strbuf_set(&resp->head, (struct str){c->in.ptr, len});
-	consume(&c->in, len);
+	strbuf_remove(&c->in, len);
 	strbuf_reset(&resp->body);
 	fault = rsp_parse(&resp->rsp, strbuf_view(&resp->head),
 			  req_is_head_method(e, c->req));
@@ -421,7 +412,7 @@
 	deliver_data(e, c, h, data);
 	if (c->state == BCONN_CLOSED)
 		return STEP_STOP;
-	consume(&c->in, used);
+	strbuf_remove(&c->in, used);
 	if (c->response.rsp.chunked && c->decoder.state == HBOD_MALFORMED) {
 		fail_attempt(e, c, HLTH_BROKEN, "malformed chunks");
 		return STEP_STOP;
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -10,6 +10,7 @@
 #include "control_listener.h"
 #include "metrics.h"
 #include "logs.h"
+#include "output_buffer.h"
 #include "request.h"
 
 #define RECV_BYTES 32768
@@ -85,16 +86,12 @@
 		}
 		c->out_sent += (size_t)n;
 	}
-	if (c->out_sent == c->out.len) {
-		strbuf_free(&c->out);
-		strbuf_init(&c->out);
-		c->out_sent = 0;
-		/* Closing with unread input resets the connection, and the
-		 * caller may lose the response. */
-		if (c->closing && c->response_done &&
-		    c->state != CCONN_READING_BODY)
-			close_connection(e, c, "response sent");
-	}
+	out_remove_sent(&c->out, &c->out_sent);
+	/* Closing with unread input resets the connection, and the caller may
+	 * lose the response. */
+	if (!c->out.len && c->closing && c->response_done &&
+	    c->state != CCONN_READING_BODY)
+		close_connection(e, c, "response sent");
 	set_events(e, c, h);
 }
 
@@ -259,8 +256,7 @@
 
 static void consume(struct strbuf *in, size_t n)
 {
-	memmove(in->ptr, in->ptr + n, in->len - n);
-	in->len -= n;
+	strbuf_remove(in, n);
 	if (!in->len) {
 		strbuf_free(in);
 		strbuf_init(in);
--- a/src/edge/edge_http_client.c
+++ b/src/edge/edge_http_client.c
@@ -195,8 +195,7 @@
 	if (c->chunked)
 		hbod_init(&c->decoder, &(struct hreq){.chunked = true});
 	c->head_done = true;
-	memmove(c->in.ptr, c->in.ptr + len, c->in.len - len);
-	c->in.len -= len;
+	strbuf_remove(&c->in, len);
 	return true;
 }
 
@@ -223,8 +222,7 @@
 		strbuf_add(&c->body, (struct str){c->in.ptr, used});
 		c->body_left -= c->until_close ? 0 : used;
 	}
-	memmove(c->in.ptr, c->in.ptr + used, c->in.len - used);
-	c->in.len -= used;
+	strbuf_remove(&c->in, used);
 	return c->chunked ? c->decoder.state == HBOD_DONE
 			  : !c->until_close && !c->body_left;
 }
