Edge: limit the response head of a VM's own calls

A VM whose call to the store or to another VM gets a head without an end kept it all until the timeout of the call.

Cause: only the body of such a response was limited. A head over 64 KB now ends the call with ERR_INVALID, as a body over its limit does.

--- a/src/edge/edge_http_client.c
+++ b/src/edge/edge_http_client.c
@@ -11,6 +11,8 @@
 #include "logs.h"
 
 #define RECV_BYTES 65536
+/* A call with a larger response head fails with ERR_INVALID. */
+#define MAX_HEAD_BYTES 65536
 /* A call with a larger response body fails with ERR_INVALID. */
 #define MAX_RESPONSE_BYTES (4 << 20)
 /* Keep-alive probes, and a limit for unacknowledged data: a server that has
@@ -181,6 +183,8 @@
 	size_t len = hreq_head_len(strbuf_view(&c->in));
 	struct rsp r;
 
+	if (!len && c->in.len > MAX_HEAD_BYTES)
+		finish(c, ERR_INVALID);
 	if (!len)
 		return false;
 	if (rsp_parse(&r, (struct str){c->in.ptr, len}, false)) {
--- a/src/edge/edge_http_client.h
+++ b/src/edge/edge_http_client.h
@@ -14,7 +14,8 @@
 	 * ERR_OK: a complete response of any status was received.
 	 * ERR_TIMEOUT: the call's timeout passed.
 	 * ERR_UNREACHABLE: the connection failed, or the head was malformed.
-	 * ERR_INVALID: the body was too large or its chunks malformed.
+	 * ERR_INVALID: the head or the body was too large, or its chunks
+	 * malformed.
 	 */
 	enum err err;
 	int status;
--- a/tests/test_hostile_server.c
+++ b/tests/test_hostile_server.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "edge_http_client.h"
 #include "edge_socket_fixture.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -11,6 +12,8 @@
  * may hold for one connection. */
 #define ENDLESS_BYTES (24 << 20)
 #define MAX_HELD_BYTES (1 << 20)
+/* Bodies of the store and of other VMs are held as a whole. */
+#define MAX_CALL_BYTES (6 << 20)
 
 static struct edge e;
 static struct sfix fix;
@@ -154,6 +157,67 @@
 	}
 }
 
+static enum err call_result;
+static bool call_done;
+
+static void on_called(void *ctx, const struct call_result *result)
+{
+	call_result = result->err;
+	call_done = true;
+}
+
+/* Guards against a response of the store or of another VM that is kept without
+ * a limit. */
+static void test_endless_calls(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(endless_cases); i++) {
+		const struct endless *c = &endless_cases[i];
+		const struct call_row *row;
+		struct sockaddr_in addr;
+		struct strbuf bytes;
+		size_t sent = 0, most = 0;
+		struct hnd call;
+		bool open = true;
+		int server, rounds = 2000;
+
+		make_endless(c, &bytes);
+		sfix_start(&fix, &e, CONF_UNSAFE);
+		call_start(&e);
+		addr = sfix_address(fix.server_fd);
+		call = call_new(&e, &addr);
+		call_done = false;
+		call_begin(&e, call,
+			   &(struct call_request){
+				   .method = "GET",
+				   .target = STR("/x"),
+				   .timeout_ns = 5 * NS_PER_S,
+				   .done = on_called,
+			   });
+		sfix_run(&fix, 20);
+		server = sfix_accept(&fix);
+		row = tab_get(&e.calls, call);
+		while (open && !call_done && sent < ENDLESS_BYTES &&
+		       rounds-- > 0) {
+			open = send_more(server, c, &bytes, &sent);
+			sfix_run(&fix, 1);
+			if (row->in.len + row->body.len > most)
+				most = row->in.len + row->body.len;
+		}
+		if (most > MAX_CALL_BYTES ||
+		    (call_done && call_result == ERR_OK &&
+		     sent >= ENDLESS_BYTES))
+			fail_msg("%s: %zu bytes held of %zu", c->name, most,
+				 sent);
+		close(server);
+		call_stop(&e);
+		sfix_stop(&fix);
+		strbuf_free(&bytes);
+	}
+}
+
 /* When a server sends a late copy of an earlier response. */
 enum copy_time {
 	/* Together with the response. */
@@ -267,6 +331,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_endless_responses),
+		cmocka_unit_test(test_endless_calls),
 		cmocka_unit_test(test_late_copies),
 	};
 
