Edge: read a body on when its request goes on or ends

An upload that was sent from the queue on an idle connection hung until its timeout.

Cause: a flag paused reading, and only a new connection to a server or a writable one cleared it. A refusal, an expired request, a send on an idle connection, and a body whose last read exceeded 1 MiB left it set.

Whether reading may go on is now asked of the request at each tick (req_wants_body), so no event has to clear the flag, and the calls that did are gone. A request that has ended wants the rest of its body, since the next request follows it.

Evidence: test_edge_upload plays eleven uploads that wait and are sent, refused or expire, with a length or in chunks, then a request on the same connection.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -412,6 +412,8 @@
 	struct tab caller_conns;
 	/* One of them may hold a further request; see cconn_tick(). */
 	bool caller_input_pending;
+	/* Reading of some body is paused. */
+	bool caller_body_paused;
 	/* Connections to backend servers. */
 	struct tab backend_conns;
 	struct tab vms;
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -540,12 +540,8 @@
 		on_connect(e, c, h);
 		return;
 	}
-	if (events & EPOLLOUT) {
-		struct hnd req = c->req;
-
+	if (events & EPOLLOUT)
 		send_pending(e, c, h);
-		req_server_writable(e, req);
-	}
 	c = get_row(e, h);
 	if (c && (events & EPOLLIN))
 		receive(e, h);
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -103,8 +103,9 @@
 	c->state_since_ns = e->ev.now_ns;
 	if (c->state == CCONN_RESPONDING)
 		c->state = CCONN_READING_HEAD;
-	/* A further request may have arrived with the last one. */
-	c->input_pending = c->in.len > 0;
+	/* A further request may have arrived with the last one; a paused body
+	 * is read on. */
+	c->input_pending = c->in.len > 0 || c->body_paused;
 	e->caller_input_pending |= c->input_pending;
 	send_pending(e, c, h);
 }
@@ -388,7 +389,8 @@
 		reject_body(e, c, h, 413, "body too large");
 		return false;
 	}
-	c->body_paused = !more;
+	c->body_paused = !more && c->body.state != HBOD_DONE;
+	e->caller_body_paused |= c->body_paused;
 	if (c->body.state != HBOD_DONE)
 		return false;
 	c->state = c->response_done ? CCONN_READING_HEAD : CCONN_RESPONDING;
@@ -417,29 +419,27 @@
 {
 	uint32_t i;
 
-	if (!e->caller_input_pending)
+	if (!e->caller_input_pending && !e->caller_body_paused)
 		return;
 	e->caller_input_pending = false;
+	e->caller_body_paused = false;
 	for (i = 0; i < e->caller_conns.len; i++) {
 		struct cconn_row *c = tab_at(&e->caller_conns, i);
 
-		if (c->closed || !c->input_pending)
+		if (c->closed)
+			continue;
+		if (c->body_paused && req_wants_body(e, c->req)) {
+			c->body_paused = false;
+			c->input_pending = true;
+		}
+		e->caller_body_paused |= c->body_paused;
+		if (!c->input_pending)
 			continue;
 		c->input_pending = false;
 		process_input(e, c, tab_handle(&e->caller_conns, i));
 	}
 }
 
-void cconn_resume(struct edge *e, struct hnd caller)
-{
-	struct cconn_row *c = get_row(e, caller);
-
-	if (!c || !c->body_paused)
-		return;
-	c->body_paused = false;
-	process_input(e, c, caller);
-}
-
 /* False when the caller closed the connection or reading failed. */
 static bool receive(struct edge *e, struct cconn_row *c)
 {
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -35,8 +35,8 @@
 	bool pipeline_paused;
 	/* The socket is closed; cconn_sweep() removes the row. */
 	bool closed;
-	/* Reading is paused until more of the body is sent to the backend
-	 * server. */
+	/* Reading is paused until the request wants more of its body, or has
+	 * ended. */
 	bool body_paused;
 	/* in may hold a further request; see cconn_tick(). */
 	bool input_pending;
@@ -52,7 +52,8 @@
 void cconn_stop(struct edge *e);
 /* Takes over a socket that a listener accepted. */
 void cconn_add(struct edge *e, enum edge_listener listener, int fd);
-/* Parses requests that arrived together with one that has been answered. */
+/* Parses requests that arrived together with one that has been answered, and
+ * resumes reading of bodies. */
 void cconn_tick(struct edge *e);
 /*
  * Enforces the time limits: closes idle connections, those whose last response
@@ -87,7 +88,5 @@
 /* True if a connection has received a part of a request, or has a response to
  * send. */
 bool cconn_any_unfinished(const struct edge *e);
-/* Resumes reading a request body if that is paused. */
-void cconn_resume(struct edge *e, struct hnd caller);
 
 #endif
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -493,6 +493,18 @@
 		send_request(e, r);
 }
 
+bool req_wants_body(const struct edge *e, struct hnd h)
+{
+	const struct req_row *r = req_get(e, h);
+
+	if (!r)
+		return true;
+	if (r->streaming)
+		return bconn_unsent_bytes(e, r->backend_conn) <
+		       MAX_UNSENT_BODY_BYTES;
+	return r->body.len <= BODY_BUFFER_BYTES;
+}
+
 bool req_body_received(struct edge *e, struct hnd h, struct str data, bool done)
 {
 	struct req_row *r = req_get(e, h);
@@ -505,7 +517,7 @@
 		strbuf_add(&r->body, data);
 		if (r->state == REQ_RECEIVING && is_body_buffered(r))
 			req_dispatch(e, h);
-		return r->state == REQ_DONE || r->body.len <= BODY_BUFFER_BYTES;
+		return req_wants_body(e, h);
 	}
 	strbuf_init(&out);
 	append_body(r, &out, data);
@@ -513,16 +525,7 @@
 		strbuf_add(&out, STR("0\r\n\r\n"));
 	bconn_send(e, r->backend_conn, strbuf_view(&out), done);
 	strbuf_free(&out);
-	return bconn_unsent_bytes(e, r->backend_conn) < MAX_UNSENT_BODY_BYTES;
-}
-
-void req_server_writable(struct edge *e, struct hnd h)
-{
-	const struct req_row *r = req_get(e, h);
-
-	if (r && r->streaming && !r->body_done &&
-	    bconn_unsent_bytes(e, r->backend_conn) < MAX_UNSENT_BODY_BYTES)
-		cconn_resume(e, r->caller);
+	return req_wants_body(e, h);
 }
 
 void req_cancel(struct edge *e, struct hnd h, const char *why)
@@ -584,8 +587,6 @@
 		return;
 	}
 	send_request(e, r);
-	if (r->streaming)
-		cconn_resume(e, r->caller);
 }
 
 /* Nothing was sent, so a request of any kind may go to another server. */
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -18,9 +18,12 @@
  */
 struct hnd req_begin(struct edge *e, struct hnd caller, const struct hreq *head,
 		     int64_t start_ns);
-/* Adds a part of the body; false when reading from the caller should pause. */
+/* Adds a part of the body; returns as req_wants_body(). */
 bool req_body_received(struct edge *e, struct hnd req, struct str data,
 		       bool done);
+/* False while reading the body from the caller should pause. True once the
+ * request has ended: the rest of its body precedes the next request. */
+bool req_wants_body(const struct edge *e, struct hnd req);
 /* The caller closed its connection, or the request is malformed. */
 void req_cancel(struct edge *e, struct hnd req, const char *why);
 /* More of a relayed response was written to the caller's connection. */
@@ -30,8 +33,6 @@
  * edge_backend_connection.c. */
 void req_connected(struct edge *e, struct hnd req);
 void req_connect_failed(struct edge *e, struct hnd req, const char *why);
-/* More of a streamed body was written to the connection. */
-void req_server_writable(struct edge *e, struct hnd req);
 /* The method is HEAD, so that the response has no body. */
 bool req_is_head_method(const struct edge *e, struct hnd req);
 enum req_match {
