Edge: remember a server's pause and leaving when its row is gone

A server that had said that it is leaving would have been used again in the same way.

Cause: both were kept in the server's row only, which is deleted when the store lists the server no more. A row that is gone now stays until the pause has ended, and for 60 s if the server said that it is leaving; a new incarnation begins without both, as before. Such rows wait for a due time, so that no tick scans them.

Evidence: test_row_comes_back fails for "paused" and "leaving" before, and passes for its six cases now.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -5,6 +5,10 @@
 
 #include "logs.h"
 
+/* Time for which a server that said that it is leaving is remembered after its
+ * row is gone, as its row may come back. */
+#define LEAVING_MEMORY_NS (60 * NS_PER_S)
+
 bool srv_is_valid_id(struct str id)
 {
 	size_t i;
@@ -219,6 +223,32 @@
 	s->missing = false;
 }
 
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static int64_t earlier(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+/* The row may come back, and the server is still the same one: it wants no
+ * requests in its pause, and none at all if it is leaving. */
+static void set_gone(struct edge *e, struct srv_row *s)
+{
+	s->state = SRV_GONE;
+	s->missing = false;
+	s->delete_ns =
+		later(s->paused_until_ns,
+		      s->said_leaving ? e->ev.now_ns + LEAVING_MEMORY_NS : 0);
+}
+
+static bool is_in_use(const struct srv_row *s)
+{
+	return s->in_flight || s->idle_connections;
+}
+
 static void start_removal(struct edge *e, struct srv_row *s)
 {
 	if (s->state == SRV_GONE || s->missing)
@@ -248,7 +278,7 @@
 
 void srv_set_replaced(struct edge *e, struct srv_row *s)
 {
-	s->state = SRV_GONE;
+	set_gone(e, s);
 	e->server_removal_pending = true;
 }
 
@@ -270,20 +300,26 @@
 	int64_t registered_ns = avail_registered_ns(&e->store);
 	uint32_t i = e->servers.len;
 
-	if (!e->server_removal_pending)
+	if (!e->server_removal_pending && now_ns < e->server_delete_ns)
 		return;
 	e->server_removal_pending = false;
+	e->server_delete_ns = TMR_NEVER;
 	while (i-- > 0) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
 		if (s->missing && registered_ns <= now_ns) {
-			s->state = SRV_GONE;
-			s->missing = false;
+			set_gone(e, s);
 			log_server(s, "gone");
 		}
-		e->server_removal_pending |= s->missing || s->state == SRV_GONE;
-		if (s->state != SRV_GONE || s->in_flight || s->idle_connections)
+		e->server_removal_pending |=
+			s->missing || (s->state == SRV_GONE && is_in_use(s));
+		if (s->state != SRV_GONE || is_in_use(s))
 			continue;
+		if (now_ns < s->delete_ns) {
+			e->server_delete_ns =
+				earlier(e->server_delete_ns, s->delete_ns);
+			continue;
+		}
 		remove_from_service(e, s);
 		idx_del(&e->server_by_key, s->key);
 		idx_del(&e->server_by_short_key, srv_short_key(s->key));
@@ -299,7 +335,8 @@
 		const struct srv_row *s = tab_at(&e->servers, i);
 
 		if (s->missing)
-			return avail_registered_ns(&e->store);
+			return earlier(avail_registered_ns(&e->store),
+				       e->server_delete_ns);
 	}
-	return TMR_NEVER;
+	return e->server_delete_ns;
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -157,6 +157,7 @@
 	idx_init(&e->server_by_key);
 	idx_init(&e->server_by_short_key);
 	idx_init(&e->vm_by_key);
+	e->server_delete_ns = TMR_NEVER;
 }
 
 void edge_free_tables(struct edge *e)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -158,7 +158,8 @@
 	SRV_READY,
 	SRV_DRAINING,
 	/* No longer listed, or replaced by another server at its address; the
-	 * row is kept until its last request and connection have ended. */
+	 * row is kept until its last request and connection have ended, and as
+	 * long as what the server said of itself holds. */
 	SRV_GONE,
 };
 
@@ -188,6 +189,8 @@
 	/* The store does not list it any more. It becomes SRV_GONE once it
 	 * would have registered again if its row had expired in an outage. */
 	bool missing;
+	/* A row in SRV_GONE is kept until then. */
+	int64_t delete_ns;
 	/* Requests and idle connections of this VM. */
 	uint32_t in_flight;
 	uint32_t idle_connections;
@@ -400,8 +403,12 @@
 	struct tab services;
 	struct idx service_by_key;
 	struct tab servers;
-	/* A server is missing or gone, and srv_tick() is to remove it. */
+	/* A server is missing, or is gone and still in use; srv_tick() is to
+	 * remove it. */
 	bool server_removal_pending;
+	/* When the row of a server that is gone may be deleted; TMR_NEVER for
+	 * none. */
+	int64_t server_delete_ns;
 	struct idx server_by_key;
 	/* By srv_short_key(). When two servers share one, load reports count
 	 * for only one of them, which affects nothing but the choice of
--- a/tests/test_server_signals.c
+++ b/tests/test_server_signals.c
@@ -195,6 +195,65 @@
 	}
 }
 
+/* Guards against a server whose row is gone for a while, as in an outage of the
+ * store, and that then gets requests in its pause or while it is leaving. */
+static void test_row_comes_back(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *head;
+		/* The row is gone for this time. */
+		int gone_ms;
+		int64_t start_ms;
+		enum srv_state state;
+		bool paused;
+	} cases[] = {
+		{"paused", "HTTP/1.1 503 X\r\nRetry-After: 8\r\n\r\n", 3000, 1,
+		 SRV_READY, true},
+		{"pause over", "HTTP/1.1 503 X\r\nRetry-After: 2\r\n\r\n", 3000,
+		 1, SRV_READY, false},
+		{"paused, new start",
+		 "HTTP/1.1 503 X\r\nRetry-After: 8\r\n\r\n", 3000, 2, SRV_READY,
+		 false},
+		{"leaving", "HTTP/1.1 200 X\r\nX-Server-Leaving: 1\r\n\r\n",
+		 30000, 1, SRV_DRAINING, false},
+		{"leaving, new start",
+		 "HTTP/1.1 200 X\r\nX-Server-Leaving: 1\r\n\r\n", 3000, 2,
+		 SRV_READY, false},
+		{"neither", "HTTP/1.1 200 X\r\n\r\n", 3000, 1, SRV_READY,
+		 false},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct srv_report r = fix_report("i-0", "z0", 3);
+		struct srv_row *s;
+
+		fix_init(&e);
+		respond(fix_server(&e, "i-0", "z0"), cases[i].head);
+		srv_set_missing(&e, r.id, 2);
+		srv_tick(&e, e.ev.now_ns);
+		fix_advance(&e, cases[i].gone_ms * NS_PER_MS);
+		srv_tick(&e, e.ev.now_ns);
+		r.start_time_ms = cases[i].start_ms;
+		srv_update(&e, &r);
+		s = srv_find(&e, edge_key(r.id), NULL);
+		if (s->state != cases[i].state ||
+		    srv_is_paused(&e, s) != cases[i].paused)
+			fail_msg("%s: state %d, paused %d", cases[i].name,
+				 s->state, srv_is_paused(&e, s));
+		/* What is remembered is deleted in the end. */
+		srv_set_missing(&e, r.id, 4);
+		srv_tick(&e, e.ev.now_ns);
+		fix_advance(&e, 100 * NS_PER_S);
+		assert_true(!e.servers.len || srv_next_due(&e) <= e.ev.now_ns);
+		srv_tick(&e, e.ev.now_ns);
+		assert_int_equal(e.servers.len, 0);
+		fix_free(&e);
+	}
+}
+
 /* Guards against a header field that is taken for the word of leaving. */
 static void test_leaving_field(void **state)
 {
@@ -257,6 +316,7 @@
 		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_pause),
 		cmocka_unit_test(test_leaving),
+		cmocka_unit_test(test_row_comes_back),
 		cmocka_unit_test(test_leaving_field),
 		cmocka_unit_test(test_state_whole),
 	};
