Edge: full reads of the servers may overlap

Cause: all full reads shared one number, which the end of a read compared with that of each server. A read now keeps the number with which it began, and a server counts as listed if it was listed since then.

Evidence: test_overlapping_full_reads. With the old comparison "1a2bx" loses a server; all seven orders pass now.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -282,15 +282,19 @@
 	e->server_removal_pending = true;
 }
 
-void srv_finish_full_read(struct edge *e, uint64_t version)
+uint32_t srv_begin_full_read(struct edge *e)
+{
+	return ++e->read_generation;
+}
+
+void srv_finish_full_read(struct edge *e, uint32_t number, uint64_t version)
 {
 	uint32_t i;
 
 	for (i = 0; i < e->servers.len; i++) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
-		if (s->read_generation != e->read_generation &&
-		    s->version <= version)
+		if (s->read_generation < number && s->version <= version)
 			start_removal(e, s);
 	}
 }
--- a/src/edge/backend_server.h
+++ b/src/edge/backend_server.h
@@ -10,12 +10,14 @@
 void srv_update(struct edge *e, const struct srv_report *r);
 /* Records that the store has not listed the server since that version. */
 void srv_set_missing(struct edge *e, struct str id, uint64_t version);
-/* Records that the current full read lists the server, although its row cannot
- * be read; does nothing for an unknown one. */
+/* Records that a full read lists the server, although its row cannot be read;
+ * does nothing for an unknown one. */
 void srv_keep(struct edge *e, struct str id);
-/* Ends a full read as of a version: servers that it did not list are missing.
- */
-void srv_finish_full_read(struct edge *e, uint64_t version);
+/* Begins a full read, which may overlap with others, and returns its number. */
+uint32_t srv_begin_full_read(struct edge *e);
+/* Ends a full read as of a version: servers that were not listed since it began
+ * are missing. */
+void srv_finish_full_read(struct edge *e, uint32_t number, uint64_t version);
 /* Records that another server responds at its address; it gets no more
  * requests. */
 void srv_set_replaced(struct edge *e, struct srv_row *s);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -232,7 +232,8 @@
 	/* Failure score at score_ns; decays exponentially. */
 	double score;
 	int64_t score_ns;
-	/* Number of the last full read that listed this server. */
+	/* Number of the last full read that had begun when this server was
+	 * listed. */
 	uint32_t read_generation;
 };
 
@@ -449,7 +450,7 @@
 	/* The table of servers was read or received at least once. */
 	bool servers_known;
 	struct sync_state sync;
-	/* Number of the current full read of the servers. */
+	/* Number of the last full read of the servers that has begun. */
 	uint32_t read_generation;
 	struct avail_state store;
 	int64_t start_ns;
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -329,12 +329,11 @@
 
 static void apply_servers(struct edge *e, const struct state *s)
 {
-	uint32_t i;
+	uint32_t i, number = srv_begin_full_read(e);
 
-	e->read_generation++;
 	for (i = 0; i < s->server_count; i++)
 		codec_apply_change(e, &s->servers[i]);
-	srv_finish_full_read(e, s->servers_version);
+	srv_finish_full_read(e, number, s->servers_version);
 	sync_set_versions(e, s->config_version, s->servers_version);
 }
 
--- a/tests/test_odd_rows.c
+++ b/tests/test_odd_rows.c
@@ -167,13 +167,15 @@
 
 	(void)state;
 	for (i = 0; i < COUNT(cases); i++) {
+		uint32_t number;
+
 		fix_init(&e);
 		fix_server(&e, "i-0", "z0");
-		e.read_generation++;
+		number = srv_begin_full_read(&e);
 		if (cases[i].damaged)
 			srv_keep(&e, STR("i-0"));
 		srv_keep(&e, STR("i-unknown"));
-		srv_finish_full_read(&e, 9);
+		srv_finish_full_read(&e, number, 9);
 		srv_tick(&e, e.ev.now_ns);
 		if (e.servers.len != cases[i].kept)
 			fail_msg("%s: %u servers", cases[i].name,
@@ -182,12 +184,54 @@
 	}
 }
 
+/* Guards against servers of the first pages of a full read that are taken for
+ * missing, as another full read began between two pages. */
+static void test_overlapping_full_reads(void **state)
+{
+	/* Steps: a and b list a server, 1 and 2 begin a read, x and y end the
+	 * first and the second. */
+	static const struct {
+		const char *steps;
+		unsigned servers;
+	} cases[] = {
+		{"1abx", 2},	{"1ax", 1},    {"1a2bx", 2},  {"1a2bxy", 1},
+		{"1a2abyx", 2}, {"12abxy", 2}, {"1ab2ay", 1},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		uint32_t numbers[2] = {0, 0};
+		const char *p;
+
+		fix_init(&e);
+		fix_server(&e, "a", "z0");
+		fix_server(&e, "b", "z0");
+		for (p = cases[i].steps; *p; p++) {
+			char id[2] = {*p, '\0'};
+
+			if (*p == '1' || *p == '2')
+				numbers[*p - '1'] = srv_begin_full_read(&e);
+			else if (*p == 'x' || *p == 'y')
+				srv_finish_full_read(&e, numbers[*p - 'x'], 9);
+			else
+				fix_server(&e, id, "z0");
+			srv_tick(&e, e.ev.now_ns);
+		}
+		if (e.servers.len != cases[i].servers)
+			fail_msg("%s: %u servers", cases[i].steps,
+				 e.servers.len);
+		fix_free(&e);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_values),
 		cmocka_unit_test(test_ids),
 		cmocka_unit_test(test_damaged_in_full_read),
+		cmocka_unit_test(test_overlapping_full_reads),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
