Edge: a server may read a large request late

Cause: TCP_USER_TIMEOUT, by which a path that is down is detected, also counts while the server's window is closed. Requests over 32 KB, which may exceed the window, now have 3 s; a path that is down shows with the small ones.

--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -33,6 +33,10 @@
  * does not acknowledge: the path to it is down, rather than the server. Longer
  * than two retransmissions. */
 #define UNACKED_TIMEOUT_MS 600
+/* The same for a request that may exceed the window of a server that reads it
+ * late: bytes that wait for a window count as not acknowledged. */
+#define UNACKED_LARGE_TIMEOUT_MS 3000
+#define MAX_WINDOW_BYTES 32768
 /* For servers that announce no idle timeout. */
 #define DEFAULT_IDLE_TIMEOUT_NS (4 * NS_PER_S)
 
@@ -90,6 +94,11 @@
 	ev_modify(&e->ev, c->fd, EV_BACKEND_CONN, h, events);
 }
 
+static void set_unacked_timeout(int fd, int ms)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static void reset_for_request(struct bconn_row *c, struct hnd req)
 {
 	c->req = req;
@@ -97,6 +106,9 @@
 	c->out_sent = 0;
 	strbuf_reset(&c->out);
 	c->request_complete = false;
+	if (c->large_request)
+		set_unacked_timeout(c->fd, UNACKED_TIMEOUT_MS);
+	c->large_request = false;
 	c->head_done = false;
 	c->skip_response = false;
 	c->discarded = 0;
@@ -139,14 +151,13 @@
 
 static int start_connect(const struct sockaddr_in *addr)
 {
-	int one = 1, unacked_ms = UNACKED_TIMEOUT_MS;
+	int one = 1;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-		   sizeof(unacked_ms));
+	set_unacked_timeout(fd, UNACKED_TIMEOUT_MS);
 	if (connect(fd, (const void *)addr, sizeof(*addr)) &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -231,6 +242,11 @@
 		return;
 	strbuf_add(&c->out, bytes);
 	c->request_complete = last;
+	if (!c->large_request &&
+	    c->sent_bytes + c->out.len - c->out_sent > MAX_WINDOW_BYTES) {
+		c->large_request = true;
+		set_unacked_timeout(c->fd, UNACKED_LARGE_TIMEOUT_MS);
+	}
 	if (c->state == BCONN_BUSY)
 		send_pending(e, c, conn);
 }
--- a/src/edge/edge_backend_connection.h
+++ b/src/edge/edge_backend_connection.h
@@ -36,6 +36,8 @@
 	uint32_t events;
 	/* Bytes of the request that were written to the socket. */
 	uint64_t sent_bytes;
+	/* The request may exceed the window of its server. */
+	bool large_request;
 	/* First error of a send; 0 for none. */
 	int failure;
 	/* The end of the request is in out or was sent. */
