--- a/scripts/it_layers.sh
+++ b/scripts/it_layers.sh
@@ -33,7 +33,8 @@
 	"$edge_encodings" \
 	$(edge_files edge_retry_budget edge_admission edge_outlier_detection \
 		backend_load edge_membership edge_load_balancing backend_server \
-		backend_progress stalled_attempt request_check)
+		backend_progress stalled_attempt request_check \
+		store_availability)
 expect_no_match "decisions of an entry VM include no sockets or encodings" \
 	'#include [<"](sys/socket|sys/epoll|poll|civetweb|zmq|mpack|json-c/|http_parser|messagepack|peer_codec|peer_transport|backend_connection|platform_http)(\.h|/|>|")' \
 	src/allocator_{lease,distribution,grants,roster}.c \
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -1,4 +1,4 @@
-#include "edge_backend_connection.h"
+#include "edge_backend_connection_internal.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -12,19 +12,8 @@
 #include "logs.h"
 #include "output_buffer.h"
 #include "request.h"
-#include "server_signals.h"
 
 #define RECV_BYTES 32768
-#define MAX_HEAD_BYTES 65536
-/* A response with a body up to this size is passed to the caller only when it
- * is complete. */
-#define RESPONSE_BUFFER_BYTES 65536
-/* Bytes of responses that are not passed on, after which a server counts as
- * broken. */
-#define MAX_DISCARDED_BYTES 1048576
-/* Unsent bytes of a relayed response above which reading from the server
- * pauses. */
-#define MAX_UNSENT_RESPONSE_BYTES 262144
 /* Part of the server's idle timeout after which a connection is closed, in
  * thousandths: a request must not be sent on a connection that the server is
  * closing. */
@@ -40,8 +29,7 @@
 /* For servers that announce no idle timeout. */
 #define DEFAULT_IDLE_TIMEOUT_NS (4 * NS_PER_S)
 
-/* NULL if the connection is closed. */
-static struct bconn_row *get_row(const struct edge *e, struct hnd h)
+struct bconn_row *bconn_get(const struct edge *e, struct hnd h)
 {
 	struct bconn_row *c = tab_get(&e->backend_conns, h);
 
@@ -80,7 +68,7 @@
 	c->fd = -1;
 }
 
-static void set_events(struct edge *e, struct bconn_row *c, struct hnd h)
+void bconn_set_events(struct edge *e, struct bconn_row *c, struct hnd h)
 {
 	uint32_t events = c->reading_paused ? 0 : EPOLLIN;
 
@@ -205,7 +193,7 @@
 
 bool bconn_is_connected(const struct edge *e, struct hnd conn)
 {
-	const struct bconn_row *c = get_row(e, conn);
+	const struct bconn_row *c = bconn_get(e, conn);
 
 	return c && c->state == BCONN_BUSY;
 }
@@ -231,12 +219,12 @@
 		c->sent_bytes += (uint64_t)n;
 	}
 	out_remove_sent(&c->out, &c->out_sent);
-	set_events(e, c, h);
+	bconn_set_events(e, c, h);
 }
 
 void bconn_send(struct edge *e, struct hnd conn, struct str bytes, bool last)
 {
-	struct bconn_row *c = get_row(e, conn);
+	struct bconn_row *c = bconn_get(e, conn);
 
 	if (!c)
 		return;
@@ -253,28 +241,28 @@
 
 size_t bconn_unsent_bytes(const struct edge *e, struct hnd conn)
 {
-	const struct bconn_row *c = get_row(e, conn);
+	const struct bconn_row *c = bconn_get(e, conn);
 
 	return c ? c->out.len - c->out_sent : 0;
 }
 
 uint64_t bconn_sent_bytes(const struct edge *e, struct hnd conn)
 {
-	const struct bconn_row *c = get_row(e, conn);
+	const struct bconn_row *c = bconn_get(e, conn);
 
 	return c ? c->sent_bytes : 0;
 }
 
 void bconn_cancel(struct edge *e, struct hnd conn)
 {
-	struct bconn_row *c = get_row(e, conn);
+	struct bconn_row *c = bconn_get(e, conn);
 
 	if (c)
 		close_connection(e, c);
 }
 
-static void fail_attempt(struct edge *e, struct bconn_row *c,
-			 enum hlth_outcome outcome, const char *why)
+void bconn_fail_attempt(struct edge *e, struct bconn_row *c,
+			enum hlth_outcome outcome, const char *why)
 {
 	struct hnd req = c->req;
 	bool may_have_run = c->sent_bytes > 0;
@@ -289,8 +277,7 @@
 	return c->request_complete && c->out.len == c->out_sent;
 }
 
-/* Releases the connection before the request evaluates the response. */
-static void finish_response(struct edge *e, struct bconn_row *c, struct hnd h)
+void bconn_finish_response(struct edge *e, struct bconn_row *c, struct hnd h)
 {
 	struct bconn_response response = c->response;
 	struct hnd req = c->req;
@@ -312,7 +299,7 @@
 		strbuf_free(&c->in);
 		strbuf_init(&c->in);
 		update_server_counts(e, c, -1, 1);
-		set_events(e, c, h);
+		bconn_set_events(e, c, h);
 	} else {
 		close_connection(e, c);
 	}
@@ -323,163 +310,6 @@
 	bconn_response_free(&response);
 }
 
-static void deliver_data(struct edge *e, struct bconn_row *c, struct hnd h,
-			 struct str data)
-{
-	if (c->skip_response || !data.len)
-		return;
-	if (!c->streaming) {
-		strbuf_add(&c->response.body, data);
-		if (c->response.body.len <= RESPONSE_BUFFER_BYTES)
-			return;
-		c->streaming = true;
-		if (!req_stream_begin(e, c->req, &c->response))
-			return;
-		data = strbuf_view(&c->response.body);
-	}
-	c->reading_paused =
-		req_stream_data(e, c->req, data) > MAX_UNSENT_RESPONSE_BYTES;
-	strbuf_reset(&c->response.body);
-	set_events(e, c, h);
-}
-
-enum parse_step {
-	/* More bytes are needed. */
-	STEP_WAIT,
-	STEP_NEXT,
-	/* The connection is idle or closed. */
-	STEP_STOP,
-};
-
-static enum parse_step discard(struct edge *e, struct bconn_row *c, size_t len)
-{
-	c->discarded += len;
-	if (c->discarded <= MAX_DISCARDED_BYTES)
-		return STEP_NEXT;
-	fail_attempt(e, c, HLTH_BROKEN, "bytes without end");
-	return STEP_STOP;
-}
-
-static enum parse_step parse_head(struct edge *e, struct bconn_row *c)
-{
-	size_t len = hreq_head_len(strbuf_view(&c->in));
-	struct bconn_response *resp = &c->response;
-	enum req_match match;
-	struct srv_row *s;
-	const char *fault;
-
-	if (!len && c->in.len > MAX_HEAD_BYTES) {
-		fail_attempt(e, c, HLTH_BROKEN, "response head too large");
-		return STEP_STOP;
-	}
-	if (!len)
-		return STEP_WAIT;
-	strbuf_set(&resp->head, (struct str){c->in.ptr, len});
-	strbuf_remove(&c->in, len);
-	strbuf_reset(&resp->body);
-	fault = rsp_parse(&resp->rsp, strbuf_view(&resp->head),
-			  req_is_head_method(e, c->req));
-	if (fault) {
-		fail_attempt(e, c, HLTH_BROKEN, fault);
-		return STEP_STOP;
-	}
-	s = tab_get(&e->servers, c->server);
-	if (s)
-		sig_on_response(e, s, &resp->rsp);
-	if (resp->rsp.status / 100 == 1)
-		return discard(e, c, len);
-	match = req_match_response(e, c->req, &resp->rsp, c->used_before);
-	if (match == REQ_MATCH_UNKNOWN) {
-		fail_attempt(e, c, HLTH_BROKEN, "response without an id");
-		return STEP_STOP;
-	}
-	c->head_done = true;
-	c->skip_response = match == REQ_MATCH_OTHER;
-	c->no_reuse |= c->skip_response;
-	c->body_left = resp->rsp.length > 0 ? (uint64_t)resp->rsp.length : 0;
-	if (resp->rsp.chunked)
-		hbod_init(&c->decoder, &(struct hreq){.chunked = true});
-	return STEP_NEXT;
-}
-
-static bool is_complete(const struct bconn_row *c)
-{
-	if (c->response.rsp.chunked)
-		return c->decoder.state == HBOD_DONE;
-	return c->response.rsp.length >= 0 && !c->body_left;
-}
-
-/* Decodes all chunks of the input at once, since a server may send many small
- * ones. Their data is moved to the start of the input, where *data is a view of
- * it; returns the number of bytes consumed. */
-static size_t decode_chunks(struct bconn_row *c, struct str *data)
-{
-	size_t used = 0, len = 0;
-
-	while (used < c->in.len && c->decoder.state != HBOD_DONE &&
-	       c->decoder.state != HBOD_MALFORMED) {
-		struct str piece = STR_NONE;
-
-		used += hbod_decode(&c->decoder,
-				    str_skip(strbuf_view(&c->in), used),
-				    &piece);
-		if (piece.len)
-			memmove(c->in.ptr + len, piece.ptr, piece.len);
-		len += piece.len;
-	}
-	*data = (struct str){c->in.ptr, len};
-	return used;
-}
-
-static enum parse_step decode_body(struct edge *e, struct bconn_row *c,
-				   struct hnd h)
-{
-	struct str in = strbuf_view(&c->in);
-	struct str data = in;
-	size_t used = in.len;
-
-	if (c->response.rsp.chunked) {
-		used = decode_chunks(c, &data);
-	} else if (c->response.rsp.length >= 0 && used > c->body_left) {
-		used = c->body_left;
-		data.len = used;
-	}
-	if (!c->response.rsp.chunked && c->response.rsp.length >= 0)
-		c->body_left -= used;
-	deliver_data(e, c, h, data);
-	if (c->state == BCONN_CLOSED)
-		return STEP_STOP;
-	strbuf_remove(&c->in, used);
-	if (c->response.rsp.chunked && c->decoder.state == HBOD_MALFORMED) {
-		fail_attempt(e, c, HLTH_BROKEN, "malformed chunks");
-		return STEP_STOP;
-	}
-	if (c->skip_response && discard(e, c, used) == STEP_STOP)
-		return STEP_STOP;
-	if (!is_complete(c))
-		return used && c->in.len ? STEP_NEXT : STEP_WAIT;
-	if (!c->skip_response) {
-		finish_response(e, c, h);
-		return STEP_STOP;
-	}
-	c->head_done = false;
-	c->skip_response = false;
-	return STEP_NEXT;
-}
-
-static void process_input(struct edge *e, struct hnd h)
-{
-	enum parse_step step = STEP_NEXT;
-
-	while (step == STEP_NEXT) {
-		struct bconn_row *c = get_row(e, h);
-
-		if (!c || c->state != BCONN_BUSY)
-			return;
-		step = c->head_done ? decode_body(e, c, h) : parse_head(e, c);
-	}
-}
-
 /*
  * True if the end of the connection completes the response: an orderly end of a
  * body without a length. A server that ends the connection before it has got
@@ -498,21 +328,21 @@
 /* failure: error of the socket, 0 after an orderly end. */
 static void on_close(struct edge *e, struct hnd h, int failure)
 {
-	struct bconn_row *c = get_row(e, h);
+	struct bconn_row *c = bconn_get(e, h);
 
 	if (!c || c->state != BCONN_BUSY)
 		return;
 	if (is_completed_by_close(c, failure)) {
 		c->no_reuse = true;
-		finish_response(e, c, h);
+		bconn_finish_response(e, c, h);
 		return;
 	}
 	if (failure == ETIMEDOUT)
-		fail_attempt(e, c, HLTH_UNREACHED, "not acknowledged");
+		bconn_fail_attempt(e, c, HLTH_UNREACHED, "not acknowledged");
 	else
-		fail_attempt(e, c, HLTH_BROKEN,
-			     failure ? "connection reset"
-				     : "connection closed");
+		bconn_fail_attempt(e, c, HLTH_BROKEN,
+				   failure ? "connection reset"
+					   : "connection closed");
 }
 
 static int socket_error(const struct bconn_row *c)
@@ -527,7 +357,7 @@
 
 static void receive(struct edge *e, struct hnd h)
 {
-	struct bconn_row *c = get_row(e, h);
+	struct bconn_row *c = bconn_get(e, h);
 	ssize_t n;
 
 	strbuf_grow(&c->in, RECV_BYTES);
@@ -539,7 +369,7 @@
 		return;
 	}
 	c->in.len += (size_t)n;
-	process_input(e, h);
+	bconn_process_input(e, h);
 }
 
 static void on_connect(struct edge *e, struct bconn_row *c, struct hnd h)
@@ -552,7 +382,7 @@
 	    !failure) {
 		c->state = BCONN_BUSY;
 		req_connected(e, req);
-		c = get_row(e, h);
+		c = bconn_get(e, h);
 		if (c)
 			send_pending(e, c, h);
 		return;
@@ -564,7 +394,7 @@
 static void on_socket_event(void *ctx, struct hnd h, uint32_t events)
 {
 	struct edge *e = ctx;
-	struct bconn_row *c = get_row(e, h);
+	struct bconn_row *c = bconn_get(e, h);
 
 	if (!c)
 		return;
@@ -579,7 +409,7 @@
 	}
 	if (events & EPOLLOUT)
 		send_pending(e, c, h);
-	c = get_row(e, h);
+	c = bconn_get(e, h);
 	if (c && (events & EPOLLIN))
 		receive(e, h);
 	else if (c && (events & (EPOLLERR | EPOLLHUP)))
@@ -588,12 +418,12 @@
 
 void bconn_resume(struct edge *e, struct hnd conn)
 {
-	struct bconn_row *c = get_row(e, conn);
+	struct bconn_row *c = bconn_get(e, conn);
 
 	if (!c || !c->reading_paused)
 		return;
 	c->reading_paused = false;
-	set_events(e, c, conn);
+	bconn_set_events(e, c, conn);
 }
 
 void bconn_expire(struct edge *e)
--- a/src/edge/request_internal.h
+++ b/src/edge/request_internal.h
@@ -6,8 +6,8 @@
 
 /*
  * Internal interface of the requests in flight, shared by request.c (from the
- * caller to the backend server), request_attempt.c (results of attempts) and
- * request_timeout.c (timeouts).
+ * caller to the backend server), request_attempt.c (results of attempts),
+ * request_timeout.c (timeouts) and request_stop.c (a VM that stops).
  */
 
 /* Mean latency assumed before a service's first response. */
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -54,29 +54,6 @@
 					     });
 }
 
-/* True when a has a lower rank than b; see sync_rank(). */
-static bool ranks_before(const struct vm_row *a, const struct vm_row *b)
-{
-	if (a->link_mbps != b->link_mbps)
-		return a->link_mbps > b->link_mbps;
-	return a->key < b->key;
-}
-
-uint32_t sync_rank(const struct edge *e)
-{
-	const struct vm_row *self = vm_self(e);
-	uint32_t i, rank = 0;
-
-	for (i = 0; i < e->vms.len; i++) {
-		const struct vm_row *vm = tab_at(&e->vms, i);
-
-		rank += vm->key != e->self && vm->region == e->region &&
-			vm->state == VM_ACTIVE && vm_is_alive(e, vm) &&
-			ranks_before(vm, self);
-	}
-	return rank;
-}
-
 /* Time without a notice after which a VM of that rank reads the store. */
 static int64_t takeover_delay_ns(struct edge *e, uint32_t rank)
 {
