Edge: the sync of the store reaches other VMs by callbacks

store_sync called the socket code for change notices and fetches, and kept the callbacks of the store in a static variable, so that a process could not hold two VMs. Both are now callbacks with a context in the state of the VM, so that a test can run the VMs of a region in one process. The HTTP call moves to state_fetch. The lines "state" and "state_failed" say how long the fetch took. No change of logic.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -19,6 +19,7 @@
 #include "edge_messages.h"
 #include "request.h"
 #include "settings_reload.h"
+#include "state_fetch.h"
 #include "backend_server.h"
 
 /* Interval at which idle connections and old reports are expired. */
@@ -240,6 +241,7 @@
 		return ERR_IO;
 	load_start(e);
 	rset_start(e);
+	fetch_start(e);
 	return e->ops.start(e->ops.ctx);
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -9,6 +9,7 @@
 #include "edge_settings.h"
 #include "event_loop.h"
 #include "store_availability.h"
+#include "sync_ops.h"
 
 #define EDGE_ID_BYTES 72
 /* Backend servers that a request remembers as tried. */
@@ -122,6 +123,8 @@
 
 /* Replication of the store's tables to this VM; see store_sync.h. */
 struct sync_state {
+	struct sync_store_ops store;
+	struct sync_peer_ops peers;
 	/* Versions of the store that this VM's tables reflect. */
 	uint64_t config_version;
 	uint64_t servers_version;
@@ -147,6 +150,7 @@
 	/* Client connection for fetching the state of a peer. */
 	struct hnd state_call;
 	bool fetching;
+	int64_t fetch_started_ns;
 	bool fetch_failed;
 	bool fetch_scheduled;
 	/* VM to fetch from, while a fetch is scheduled. */
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -1,12 +1,9 @@
 #include "store_sync.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
-#include "edge_http_client.h"
-#include "logs.h"
 #include "edge_membership.h"
-#include "edge_messages.h"
+#include "logs.h"
 
 /* Interval at which the VM of rank 0 polls for changes of servers. */
 #define POLL_INTERVAL_NS (600 * NS_PER_MS)
@@ -38,8 +35,6 @@
 #define FETCH_TIMEOUT_NS (1000 * NS_PER_MS)
 #define FETCH_JITTER_NS (60 * NS_PER_MS)
 
-static struct sync_store_ops store_ops;
-
 static void on_poll_timer(void *ctx, int64_t now_ns);
 static void fetch_state(struct edge *e, const struct vm_row *from);
 
@@ -88,7 +83,8 @@
 	if (e->sync.reading_config)
 		return;
 	e->sync.reading_config = true;
-	store_ops.read_config(store_ops.ctx, e->sync.config_version, wait_ns);
+	e->sync.store.read_config(e->sync.store.ctx, e->sync.config_version,
+				  wait_ns);
 }
 
 static void poll_store(struct edge *e, uint32_t rank)
@@ -96,7 +92,8 @@
 	if (!e->sync.reading_servers) {
 		e->sync.reading_servers = true;
 		e->sync.read_after = e->sync.servers_version;
-		store_ops.read_servers(store_ops.ctx, e->sync.servers_version);
+		e->sync.store.read_servers(e->sync.store.ctx,
+					   e->sync.servers_version);
 	}
 	if (e->ev.now_ns >= e->sync.config_retry_ns)
 		read_config(e, rank < CONFIG_READERS && e->conf
@@ -189,7 +186,7 @@
 		n.changes[i - first] = c->changes[i];
 		n.changes[i - first].report.id = str_from(c->changes[i].id);
 	}
-	return emsg_send_notice(e, &n, NULL);
+	return e->sync.peers.send_notice(e->sync.peers.ctx, &n, NULL);
 }
 
 /* Version of the store after the kept change before that index. */
@@ -319,7 +316,7 @@
 	struct sync_state *s = &e->sync;
 
 	if (s->reading_config)
-		store_ops.cancel_config(store_ops.ctx);
+		s->store.cancel_config(s->store.ctx);
 	s->reading_config = false;
 	s->config_retry_ns = 0;
 	s->config_backoff_ns = RETRY_DELAY_MIN_NS;
@@ -438,61 +435,24 @@
 	e->servers_known = true;
 }
 
-static void on_state_fetched(void *ctx, const struct call_result *result)
+void sync_fetch_done(struct edge *e, bool ok)
 {
-	struct edge *e = ctx;
 	struct sync_state *s = &e->sync;
-	bool ok = !result->err && result->status == 200 &&
-		  !codec_apply_state(e, result->body);
 
 	s->fetching = false;
-	if (ok) {
-		s->last_update_ns = e->ev.now_ns;
-		logs_event(
-			LOGS_INFO, "state",
-			(struct logs_field[]){
-				LOGS_INT("config",
-					 e->conf ? e->conf->version : 0),
-				LOGS_INT("servers_version", s->servers_version),
-				LOGS_INT("bytes", result->body.len),
-			},
-			3);
-	} else {
-		logs_event(LOGS_WARNING, "state_failed",
-			   (struct logs_field[]){
-				   LOGS_STR("error",
-					    str_from(err_name(result->err))),
-				   LOGS_INT("status", result->status),
-			   },
-			   2);
-		s->fetch_failed = true;
-		/* Ends the takeover delay: the next poll reads the store. */
-		s->last_update_ns = 0;
-	}
+	s->fetch_failed = !ok;
+	/* After a failure, the takeover delay ends: the next poll reads the
+	 * store. */
+	s->last_update_ns = ok ? e->ev.now_ns : 0;
 	schedule_poll(e, ok ? e->ev.now_ns + takeover_delay_ns(e, sync_rank(e))
 			    : e->ev.now_ns);
 }
 
 static void fetch_state(struct edge *e, const struct vm_row *from)
 {
-	struct sockaddr_in addr = from->message_addr;
-	struct strbuf target;
-
-	addr.sin_port = e->settings.control.sin_port;
 	e->sync.fetching = true;
-	strbuf_init(&target);
-	strbuf_addf(&target, "/state?config=%llu",
-		    (unsigned long long)(e->conf ? e->conf->version : 0));
-	call_set_address(e, e->sync.state_call, &addr);
-	call_begin(e, e->sync.state_call,
-		   &(struct call_request){
-			   .method = "GET",
-			   .target = strbuf_view(&target),
-			   .timeout_ns = FETCH_TIMEOUT_NS,
-			   .done = on_state_fetched,
-			   .ctx = e,
-		   });
-	strbuf_free(&target);
+	e->sync.fetch_started_ns = e->ev.now_ns;
+	e->sync.peers.fetch(e->sync.peers.ctx, from, FETCH_TIMEOUT_NS);
 }
 
 static void on_fetch_timer(void *ctx, int64_t now_ns)
@@ -532,7 +492,7 @@
 	if (!edge_has_state(e) || sync_rank(e) > LAST_CORRECTING_RANK)
 		return;
 	n = make_notice(e, e->sync.servers_version, e->sync.servers_version);
-	emsg_send_notice(e, &n, to);
+	e->sync.peers.send_notice(e->sync.peers.ctx, &n, to);
 }
 
 void sync_on_notice(struct edge *e, const struct vm_row *from,
@@ -565,14 +525,13 @@
 			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
 }
 
-void sync_start(struct edge *e, const struct sync_store_ops *ops)
+void sync_start(struct edge *e, const struct sync_store_ops *store)
 {
 	struct sync_state *s = &e->sync;
 
-	store_ops = *ops;
+	s->store = *store;
 	s->servers_backoff_ns = RETRY_DELAY_MIN_NS;
 	s->config_backoff_ns = RETRY_DELAY_MIN_NS;
 	s->last_update_ns = e->ev.now_ns;
-	s->state_call = call_new(e, &e->settings.message_addr);
 	schedule_poll(e, e->ev.now_ns + DISCOVERY_DELAY_NS);
 }
--- a/src/edge/store_sync.h
+++ b/src/edge/store_sync.h
@@ -15,19 +15,6 @@
  * missed a change fetches the state, that is both tables, from a peer.
  */
 
-/* Reads of the store. They end with sync_config_done() or sync_servers_done(),
- * after sync_on_change() for each row of the servers' table. */
-struct sync_store_ops {
-	/* Begin a read of all rows if after is 0, else of the changes after
-	 * that version; the store holds a read of the configuration for up to
-	 * wait_ns until there is a change. */
-	void (*read_config)(void *ctx, uint64_t after, int64_t wait_ns);
-	void (*read_servers)(void *ctx, uint64_t after);
-	/* Cancels a read of the configuration; its result is not reported. */
-	void (*cancel_config)(void *ctx);
-	void *ctx;
-};
-
 enum sync_result {
 	SYNC_OK,
 	/* The store has no history that far back; all rows must be read. */
@@ -48,7 +35,8 @@
 	struct srv_change changes[SYNC_MAX_NOTICE_CHANGES];
 };
 
-void sync_start(struct edge *e, const struct sync_store_ops *ops);
+/* e->sync.peers is set before. */
+void sync_start(struct edge *e, const struct sync_store_ops *store);
 /* Applies a row of the servers' table that was read from the store, and keeps
  * it for notices unless all rows are being read. */
 void sync_on_change(struct edge *e, const struct srv_change *change);
@@ -57,6 +45,8 @@
 		      uint64_t version);
 void sync_servers_done(struct edge *e, enum sync_result result,
 		       uint64_t version);
+/* Handles the end of a fetch; ok if a state was applied. */
+void sync_fetch_done(struct edge *e, bool ok);
 /* Handles a change notice of a peer. */
 void sync_on_notice(struct edge *e, const struct vm_row *from,
 		    const struct sync_notice *n);
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -9,12 +9,14 @@
 
 /*
  * An edge process without sockets, for tests of its decisions. The test sets
- * its clock, e->ev.now_ns. Zones z0 and z1 are in region r0, z2 is in r1. The
- * process runs on the VM vm0 in zone z0. Its tests use one service.
+ * its clock, e->ev.now_ns. Zones z0 and z1 are in region r0, z2 is in r1. With
+ * fix_init(), the process runs on the VM vm0 in zone z0. Its tests use one
+ * service.
  */
 #define FIX_SERVICE STR("svc")
 
-static inline void fix_init(struct edge *e)
+static inline void fix_init_vm(struct edge *e, const char *id, const char *zone,
+			       const char *region)
 {
 	static const char *const zones[][2] = {
 		{"z0", "r0"}, {"z1", "r0"}, {"z2", "r1"}};
@@ -38,12 +40,17 @@
 					   str_from(zones[i][1]),
 					   edge_key(str_from(zones[i][0])),
 					   edge_key(str_from(zones[i][1]))};
-	e->zone = edge_key(STR("z0"));
-	e->region = edge_key(STR("r0"));
-	e->self = edge_key(STR("vm0"));
+	e->zone = edge_key(str_from(zone));
+	e->region = edge_key(str_from(region));
+	e->self = edge_key(str_from(id));
 	vm_add_self(e);
 }
 
+static inline void fix_init(struct edge *e)
+{
+	fix_init_vm(e, "vm0", "z0", "r0");
+}
+
 static inline void fix_free(struct edge *e)
 {
 	tmr_free(&e->ev.timers);
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -7,6 +7,7 @@
 #include "state_codec.h"
 #include "edge_fixture.h"
 #include "backend_load.h"
+#include "state_fetch.h"
 #include "store_sync.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -254,6 +255,7 @@
 static void start_sync(void)
 {
 	memset(&reads, 0, sizeof(reads));
+	fetch_start(&e);
 	sync_start(&e, &(struct sync_store_ops){
 			       .read_config = read_config,
 			       .read_servers = read_servers,
