Edge: a new configuration no longer comes as a whole state from one VM

Cause: all VMs of a region fetched the whole state, the configuration and all servers, from the one VM that had read the new version, within 60 ms and with a timeout of 1 s. For 221 VMs and 900 servers that is about 11 MB. A VM with 20 Mbit/s, which 209 of the 221 have, needs 4.6 s for it: none of the fetches ends in time, all VMs read the store at once, and the ones without state read all rows, over the link between the regions.

Fix: the configuration is fetched alone (GET /config), from any VM that has it. Every message of a VM bears the version of its configuration, so that VMs learn of a new one, and of who has it, whichever notice is lost; a failed fetch goes on at another VM, and to the store as well. A VM refuses to send parts while its link has 200 ms of earlier ones to carry, so that those under way always end in time and the number of senders grows with each receiver. A VM whose fetch of the state fails asks other VMs before it reads all rows of the store.

The expectation of test_notices for "new configuration" changes: the changes of servers in that notice are now applied at once, since the configuration no longer brings them.

--- a/Makefile
+++ b/Makefile
@@ -138,11 +138,11 @@
 	sh scripts/fuzz.sh time
 
 # Test programs with AddressSanitizer and UndefinedBehaviorSanitizer. Random
-# schedules (ALC_SEEDS) and the model check (CLM_MODEL_DEPTH) are reduced here;
-# "make check" also runs them in full on the plain build. test_callers is left
-# out: its time limits assume a build without sanitizers; test_frontend and
+# schedules (ALC_SEEDS, SPREAD_SEEDS) and the model check (CLM_MODEL_DEPTH) are
+# reduced here; "make check" also runs them in full on the plain build.
+# test_callers is left out: its time limits assume a build without sanitizers; test_frontend and
 # leaks.sh run that code.
-SANITIZE_ENV = ALC_SEEDS=10 CLM_MODEL_DEPTH=5 \
+SANITIZE_ENV = ALC_SEEDS=10 CLM_MODEL_DEPTH=5 SPREAD_SEEDS=1 \
 	CURRANTPADDLE=$(CURDIR)/build/sanitize/currantpaddle \
 	BUILD_DIR=build/sanitize ASAN_OPTIONS=detect_leaks=1 \
 	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
--- a/src/edge/control_listener.c
+++ b/src/edge/control_listener.c
@@ -36,7 +36,8 @@
 	strbuf_add(out, STR("]}"));
 }
 
-/* Value of "?config=VERSION", the only argument of /state; 0 if absent. */
+/* Value of "?config=VERSION", the only argument of /state and /config; 0 if
+ * absent. */
 static uint64_t parse_config_arg(struct str target)
 {
 	uint64_t version;
@@ -45,20 +46,38 @@
 	return str_parse_u64(target, &version) ? version : 0;
 }
 
+/* Writes a part for a peer. */
+static void write_part(struct edge *e, enum sync_part part,
+		       const struct hreq *req, struct edge_response *resp)
+{
+	uint64_t config_version = parse_config_arg(req->target);
+
+	if (!sync_may_serve(e)) {
+		resp->status = 503;
+		return;
+	}
+	resp->content_type = "application/msgpack";
+	if (part == SYNC_CONFIG)
+		codec_write_config(e, config_version, &resp->body);
+	else
+		codec_write_state(e, config_version, &resp->body);
+	sync_on_served(e, resp->body.len);
+}
+
 void ctl_handle_request(struct edge *e, const struct hreq *req,
 			struct edge_response *resp)
 {
 	resp->status = 200;
-	if (str_eq(req->path, STR("/state")) && edge_has_state(e)) {
-		resp->content_type = "application/msgpack";
-		codec_write_state(e, parse_config_arg(req->target),
-				  &resp->body);
+	if (str_eq(req->path, STR("/state"))) {
+		write_part(e, SYNC_STATE, req, resp);
+	} else if (str_eq(req->path, STR("/config"))) {
+		write_part(e, SYNC_CONFIG, req, resp);
 	} else if (str_eq(req->path, STR("/metrics"))) {
 		resp->content_type = "text/plain; version=0.0.4";
 		ctr_write(&resp->body);
 	} else if (str_eq(req->path, STR("/status"))) {
 		write_status(e, &resp->body);
 	} else {
-		resp->status = str_eq(req->path, STR("/state")) ? 503 : 404;
+		resp->status = 404;
 	}
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -121,6 +121,20 @@
 	uint64_t recent_read_after[SYNC_REPEATED_READS];
 };
 
+/* A fetch of a part from a peer. */
+struct sync_fetch {
+	/* Client connection; see state_fetch.h. */
+	struct hnd call;
+	bool running;
+	int64_t started_ns;
+	/* The next attempt; HND_NONE for none. */
+	struct hnd timer;
+	/* VM whose notice has shown that the part is needed. */
+	uint64_t announced_by;
+	/* Failed attempts in a row. */
+	uint32_t failures;
+};
+
 /* Replication of the store's tables to this VM; see store_sync.h. */
 struct sync_state {
 	struct sync_store_ops store;
@@ -147,14 +161,12 @@
 	uint64_t announced_config_version;
 	/* Repeated notices of a new configuration that are still to be sent. */
 	uint32_t config_notices_left;
-	/* Client connection for fetching the state of a peer. */
-	struct hnd state_call;
-	bool fetching;
-	int64_t fetch_started_ns;
+	struct sync_fetch fetches[SYNC_PARTS];
+	/* The state could not be fetched: the next poll reads the store. */
 	bool fetch_failed;
-	bool fetch_scheduled;
-	/* VM to fetch from, while a fetch is scheduled. */
-	uint64_t fetch_from;
+	/* When this VM's link will have carried the parts that it has sent to
+	 * peers. */
+	int64_t serve_done_ns;
 	struct sync_changes changes;
 };
 
@@ -359,6 +371,8 @@
 	uint64_t incarnation;
 	/* Counter that the VM increments each time it sends its record. */
 	uint64_t heartbeat;
+	/* Version of the configuration in its last message; 0 for none. */
+	uint64_t config_version;
 	/* When the VM was last known to be alive. */
 	int64_t last_seen_ns;
 	/* Last load report, and when it was received; emptied when it
--- a/src/edge/edge_http_client.c
+++ b/src/edge/edge_http_client.c
@@ -98,6 +98,12 @@
 	c->addr = *addr;
 }
 
+void call_address(const struct edge *e, struct hnd row, char *out, size_t size)
+{
+	inet_ntop(AF_INET, &get_row(e, row)->addr.sin_addr, out,
+		  (socklen_t)size);
+}
+
 static void set_socket_options(int fd)
 {
 	int one = 1, idle = KEEPALIVE_IDLE_S, interval = KEEPALIVE_INTERVAL_S;
--- a/src/edge/edge_http_client.h
+++ b/src/edge/edge_http_client.h
@@ -71,6 +71,8 @@
  * to another address. */
 void call_set_address(struct edge *e, struct hnd row,
 		      const struct sockaddr_in *addr);
+/* Writes the numeric address that a row calls. */
+void call_address(const struct edge *e, struct hnd row, char *out, size_t size);
 /*
  * Starts a call on a row that is not busy. The callback runs later, never
  * within this function.
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -12,9 +12,11 @@
 #include "edge_messages_internal.h"
 #include "backend_server.h"
 
-#define MESSAGE_FORMAT 3
-/* Fields of a message: format, kind and sender, and those of its kind. */
-#define MAX_FIELDS 11
+#define MESSAGE_FORMAT 4
+/* Fields of a message: the common ones (format, kind, sender and version of the
+ * sender's configuration), and those of its kind. */
+#define COMMON_FIELDS 4
+#define MAX_FIELDS 12
 /* Fields per service in a report of the retry budget. */
 #define BUDGET_COUNT_FIELDS 6
 /* Largest age in a message, one year; older ones are cut to it. */
@@ -32,10 +34,11 @@
 		uint32_t fields)
 {
 	mpk_writer_init(&d->out, d->bytes, sizeof(d->bytes));
-	mpk_put_array(&d->out, fields + 3);
+	mpk_put_array(&d->out, fields + COMMON_FIELDS);
 	mpk_put_uint(&d->out, MESSAGE_FORMAT);
 	mpk_put_uint(&d->out, kind);
 	mpk_put_uint(&d->out, e->self);
+	mpk_put_uint(&d->out, e->conf ? e->conf->version : 0);
 }
 
 void emsg_send(struct edge *e, const struct emsg_datagram *d,
@@ -245,7 +248,7 @@
 
 static void on_notice(struct edge *e, struct mpk_reader *in, uint64_t sender)
 {
-	const struct vm_row *from = vm_find(e, sender);
+	struct vm_row *from = vm_find(e, sender);
 	struct sync_notice n = {.change_count = 0};
 	uint32_t i;
 
@@ -430,7 +433,8 @@
 			const struct sockaddr_in *from)
 {
 	struct mpk_reader in;
-	uint64_t kind, sender;
+	uint64_t kind, sender, config_version;
+	struct vm_row *vm;
 
 	mpk_reader_init(&in, bytes);
 	mpk_get_array_len(&in, MAX_FIELDS);
@@ -438,9 +442,13 @@
 		return;
 	kind = mpk_get_uint(&in, EMSG_OUTCOME, EMSG_LAST);
 	sender = mpk_get_uint(&in, 0, UINT64_MAX);
+	config_version = mpk_get_uint(&in, 0, UINT64_MAX);
 	if (sender == e->self || in.failed)
 		return;
 	vm_record_alive(e, sender, 0);
+	vm = vm_find(e, sender);
+	if (vm)
+		sync_on_peer_config(e, vm, config_version);
 	if (kind == EMSG_MEMBERS || kind == EMSG_MEMBERS_REQUEST)
 		emsg_on_members(e, &in, from, kind == EMSG_MEMBERS_REQUEST);
 	else if (kind == EMSG_NOTICE)
--- a/src/edge/edge_messages_internal.h
+++ b/src/edge/edge_messages_internal.h
@@ -37,8 +37,7 @@
 	struct mpk_writer out;
 };
 
-/* Begins a message with the common fields (format, kind and sender); that
- * number of fields follows. */
+/* Begins a message with the common fields; that number of fields follows. */
 void emsg_begin(struct edge *e, struct emsg_datagram *d, enum emsg_kind kind,
 		uint32_t fields);
 void emsg_send(struct edge *e, const struct emsg_datagram *d,
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -11,6 +11,7 @@
 #define SERVICE_FIELDS 3
 #define STATE_FIELDS 6
 #define CONF_FIELDS 7
+#define CONFIG_FIELDS 3
 #define LEAVING_FIELDS 2
 /* Bounds on the counts and lengths that a message may declare. */
 #define MAX_SERVERS 200000
@@ -197,10 +198,9 @@
 	return NULL;
 }
 
-static size_t max_state_bytes(const struct edge *e)
+static size_t max_config_bytes(const struct edge *e)
 {
-	size_t size = STATE_BYTES +
-		      (size_t)e->servers.len * (CHANGE_BYTES + LEAVING_BYTES);
+	size_t size = STATE_BYTES;
 	uint32_t i;
 
 	if (!e->conf)
@@ -217,6 +217,12 @@
 	return size;
 }
 
+static size_t max_state_bytes(const struct edge *e)
+{
+	return max_config_bytes(e) +
+	       (size_t)e->servers.len * (CHANGE_BYTES + LEAVING_BYTES);
+}
+
 /* Servers that said that they are leaving: key and start of each. */
 static void put_leaving(struct mpk_writer *out, const struct edge *e)
 {
@@ -236,6 +242,30 @@
 	}
 }
 
+static void put_conf_if_newer(struct mpk_writer *out, const struct edge *e,
+			      uint64_t peer_config_version)
+{
+	if (e->conf && e->conf->version > peer_config_version)
+		put_conf(out, e->conf);
+	else
+		mpk_put_nil(out);
+	mpk_put_uint(out, e->sync.config_version);
+}
+
+void codec_write_config(const struct edge *e, uint64_t peer_config_version,
+			struct strbuf *out)
+{
+	size_t size = max_config_bytes(e);
+	struct mpk_writer w;
+
+	strbuf_grow(out, size);
+	mpk_writer_init(&w, out->ptr + out->len, size);
+	mpk_put_array(&w, CONFIG_FIELDS);
+	mpk_put_uint(&w, STATE_FORMAT);
+	put_conf_if_newer(&w, e, peer_config_version);
+	out->len += size - w.left;
+}
+
 void codec_write_state(const struct edge *e, uint64_t peer_config_version,
 		       struct strbuf *out)
 {
@@ -247,11 +277,7 @@
 	mpk_writer_init(&w, out->ptr + out->len, size);
 	mpk_put_array(&w, STATE_FIELDS);
 	mpk_put_uint(&w, STATE_FORMAT);
-	if (e->conf && e->conf->version > peer_config_version)
-		put_conf(&w, e->conf);
-	else
-		mpk_put_nil(&w);
-	mpk_put_uint(&w, e->sync.config_version);
+	put_conf_if_newer(&w, e, peer_config_version);
 	mpk_put_uint(&w, e->sync.servers_version);
 	mpk_put_array(&w, e->servers.len);
 	for (i = 0; i < e->servers.len; i++) {
@@ -312,16 +338,22 @@
 	return s->leaving && !in->failed;
 }
 
+/* Reads what put_conf_if_newer() writes, and what precedes it. */
+static void get_config(struct mpk_reader *in, uint32_t fields, struct state *s)
+{
+	mpk_expect_array(in, fields);
+	mpk_get_uint(in, STATE_FORMAT, STATE_FORMAT);
+	if (!mpk_skip_nil(in))
+		s->conf = get_conf(in);
+	s->config_version = mpk_get_uint(in, 0, UINT64_MAX);
+}
+
 static bool get_state(struct str bytes, struct state *s)
 {
 	struct mpk_reader in;
 
 	mpk_reader_init(&in, bytes);
-	mpk_expect_array(&in, STATE_FIELDS);
-	mpk_get_uint(&in, STATE_FORMAT, STATE_FORMAT);
-	if (!mpk_skip_nil(&in))
-		s->conf = get_conf(&in);
-	s->config_version = mpk_get_uint(&in, 0, UINT64_MAX);
+	get_config(&in, STATE_FIELDS, s);
 	s->servers_version = mpk_get_uint(&in, 0, UINT64_MAX);
 	return !in.failed && get_servers(&in, s) && get_leaving(&in, s) &&
 	       !in.left;
@@ -350,15 +382,37 @@
 	}
 }
 
+static void apply_conf(struct edge *e, struct state *s)
+{
+	if (s->conf)
+		edge_set_conf(e, s->conf);
+	s->conf = NULL;
+}
+
+enum err codec_apply_config(struct edge *e, struct str bytes)
+{
+	struct state s = {.conf = NULL};
+	struct mpk_reader in;
+	bool valid;
+
+	mpk_reader_init(&in, bytes);
+	get_config(&in, CONFIG_FIELDS, &s);
+	valid = !in.failed && !in.left;
+	if (valid) {
+		apply_conf(e, &s);
+		sync_set_config_version(e, s.config_version);
+	}
+	free_state(&s);
+	return valid ? ERR_OK : ERR_INVALID;
+}
+
 enum err codec_apply_state(struct edge *e, struct str bytes)
 {
 	struct state s = {.conf = NULL};
 	bool valid = get_state(bytes, &s);
 
-	if (valid && s.conf) {
-		edge_set_conf(e, s.conf);
-		s.conf = NULL;
-	}
+	if (valid)
+		apply_conf(e, &s);
 	if (valid && s.servers_version >= e->sync.servers_version)
 		apply_servers(e, &s);
 	if (valid)
--- a/src/edge/state_codec.h
+++ b/src/edge/state_codec.h
@@ -26,6 +26,12 @@
  */
 void codec_write_state(const struct edge *e, uint64_t peer_config_version,
 		       struct strbuf *out);
+/* Writes the configuration of this VM, unless the receiver has this version or
+ * a newer one. */
+void codec_write_config(const struct edge *e, uint64_t peer_config_version,
+			struct strbuf *out);
+/* Applies a configuration if it is newer; ERR_INVALID for malformed input. */
+enum err codec_apply_config(struct edge *e, struct str bytes);
 /*
  * Applies the configuration of a state if it is newer, and the servers unless
  * they are older. Applies nothing and returns ERR_INVALID for malformed input,
--- a/src/edge/state_fetch.h
+++ b/src/edge/state_fetch.h
@@ -5,7 +5,7 @@
 
 struct edge;
 
-/* Fetches of the state of other VMs, over HTTP. */
+/* Fetches of the configuration and of the state of other VMs, over HTTP. */
 
 /* Sets e->sync.peers, the way to the other VMs for store_sync. */
 void fetch_start(struct edge *e);
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -31,12 +31,22 @@
 /* Exponential backoff after failed reads of the store. */
 #define RETRY_DELAY_MIN_NS (200 * NS_PER_MS)
 #define RETRY_DELAY_MAX_NS (1600 * NS_PER_MS)
-/* Fetches of the state from a peer. */
+/* Fetches from peers. */
 #define FETCH_TIMEOUT_NS (1000 * NS_PER_MS)
+#define FETCH_CONFIG_TIMEOUT_NS (500 * NS_PER_MS)
 #define FETCH_JITTER_NS (60 * NS_PER_MS)
+/* Exponential backoff after failed fetches. */
+#define FETCH_RETRY_MIN_NS (50 * NS_PER_MS)
+#define FETCH_RETRY_DOUBLINGS 3
+/* Failed fetches in a row after which the store is read. */
+#define MAX_FETCH_FAILURES 5
+#define MAX_CONFIG_FETCH_FAILURES 2
+/* What a VM's link has still to carry to peers when it refuses to send them
+ * more, as the time that this takes. */
+#define MAX_SERVE_BACKLOG_NS (200 * NS_PER_MS)
 
 static void on_poll_timer(void *ctx, int64_t now_ns);
-static void fetch_state(struct edge *e, const struct vm_row *from);
+static void schedule_fetch(struct edge *e, enum sync_part part, int64_t due_ns);
 
 static void schedule_poll(struct edge *e, int64_t due_ns)
 {
@@ -101,6 +111,14 @@
 				       : 0);
 }
 
+/* A fetch is running or scheduled. */
+static bool is_fetching(const struct edge *e, enum sync_part part)
+{
+	const struct sync_fetch *f = &e->sync.fetches[part];
+
+	return f->running || !hnd_eq(f->timer, HND_NONE);
+}
+
 /*
  * A VM without state fetches it from a peer if one is ready; without such a
  * peer, a reader of the configuration reads the store at once. All others read
@@ -116,11 +134,11 @@
 	const struct vm_row *from;
 
 	e->sync.timer = HND_NONE;
-	if (e->sync.reading_servers || e->sync.fetching)
+	if (e->sync.reading_servers || is_fetching(e, SYNC_STATE))
 		return;
 	from = edge_has_state(e) ? NULL : find_ready_peer(e);
 	if (from && !e->sync.fetch_failed) {
-		fetch_state(e, from);
+		schedule_fetch(e, SYNC_STATE, now_ns);
 		return;
 	}
 	e->sync.fetch_failed = false;
@@ -375,6 +393,25 @@
 			});
 }
 
+/* Sends a notice of a new configuration. */
+static void announce_config(struct edge *e)
+{
+	struct sync_state *s = &e->sync;
+
+	if (!e->conf || e->conf->version == s->announced_config_version)
+		return;
+	s->announced_config_version = e->conf->version;
+	s->config_notices_left = CONFIG_NOTICE_REPEATS;
+	send_notices(e);
+	tmr_subscribe(
+		&e->ev.timers,
+		&(struct tmr_opts){
+			.due_ns = e->ev.now_ns + NOTICE_REPEAT_INTERVAL_NS,
+			.fire = repeat_notice,
+			.ctx = e,
+		});
+}
+
 /* Retries a failed read of the configuration if this VM still has to read. */
 static void on_config_retry(void *ctx, int64_t now_ns)
 {
@@ -408,26 +445,20 @@
 		log_store_state(e, "config", "regained", false);
 	s->config_failing = false;
 	s->config_version = result == SYNC_TOO_OLD ? 0 : version;
-	if (e->conf && e->conf->version != s->announced_config_version) {
-		s->announced_config_version = e->conf->version;
-		s->config_notices_left = CONFIG_NOTICE_REPEATS;
-		send_notices(e);
-		tmr_subscribe(&e->ev.timers,
-			      &(struct tmr_opts){
-				      .due_ns = e->ev.now_ns +
-						NOTICE_REPEAT_INTERVAL_NS,
-				      .fire = repeat_notice,
-				      .ctx = e,
-			      });
-	}
+	announce_config(e);
 	if (result == SYNC_TOO_OLD || sync_rank(e) < CONFIG_READERS)
 		read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
 }
 
-void sync_set_versions(struct edge *e, uint64_t config, uint64_t servers)
+void sync_set_config_version(struct edge *e, uint64_t config)
 {
 	if (config > e->sync.config_version && !e->sync.reading_config)
 		e->sync.config_version = config;
+}
+
+void sync_set_versions(struct edge *e, uint64_t config, uint64_t servers)
+{
+	sync_set_config_version(e, config);
 	if (servers > e->sync.servers_version) {
 		e->sync.servers_version = servers;
 		reset_changes(&e->sync, servers);
@@ -435,54 +466,188 @@
 	e->servers_known = true;
 }
 
-void sync_fetch_done(struct edge *e, bool ok)
+static bool has_newer_config(const struct edge *e, const struct vm_row *vm)
+{
+	return vm->key != e->self && vm_is_alive(e, vm) && e->conf &&
+	       vm->config_version > e->conf->version;
+}
+
+/* Finds a random VM with a newer configuration, one of this region if there is
+ * any; NULL for none. */
+static const struct vm_row *find_newer_config(struct edge *e)
+{
+	uint32_t i, len = e->vms.len;
+	uint32_t start = (uint32_t)(edge_random(e) % len);
+	const struct vm_row *found = NULL;
+
+	for (i = 0; i < len; i++) {
+		const struct vm_row *vm = tab_at(&e->vms, (start + i) % len);
+
+		if (!has_newer_config(e, vm))
+			continue;
+		if (vm->region == e->region)
+			return vm;
+		found = vm;
+	}
+	return found;
+}
+
+/* The VM that announced what this one lacks is asked first, then any. */
+static const struct vm_row *find_state(struct edge *e)
+{
+	struct sync_fetch *f = &e->sync.fetches[SYNC_STATE];
+	const struct vm_row *vm = vm_find(e, f->announced_by);
+
+	f->announced_by = 0;
+	return vm ? vm : find_ready_peer(e);
+}
+
+static void read_store_instead(struct edge *e, enum sync_part part)
 {
 	struct sync_state *s = &e->sync;
 
-	s->fetching = false;
-	s->fetch_failed = !ok;
-	/* After a failure, the takeover delay ends: the next poll reads the
-	 * store. */
-	s->last_update_ns = ok ? e->ev.now_ns : 0;
-	schedule_poll(e, ok ? e->ev.now_ns + takeover_delay_ns(e, sync_rank(e))
-			    : e->ev.now_ns);
+	if (part == SYNC_CONFIG) {
+		if (e->ev.now_ns >= s->config_retry_ns)
+			read_config(e, 0);
+		return;
+	}
+	s->fetches[part].failures = 0;
+	s->fetch_failed = true;
+	/* Ends the takeover delay. */
+	s->last_update_ns = 0;
+	if (!s->reading_servers)
+		schedule_poll(e, e->ev.now_ns);
 }
 
-static void fetch_state(struct edge *e, const struct vm_row *from)
+static void begin_fetch(struct edge *e, enum sync_part part)
 {
-	e->sync.fetching = true;
-	e->sync.fetch_started_ns = e->ev.now_ns;
-	e->sync.peers.fetch(e->sync.peers.ctx, from, FETCH_TIMEOUT_NS);
+	const struct vm_row *from = part == SYNC_CONFIG ? find_newer_config(e)
+							: find_state(e);
+	struct sync_fetch *f = &e->sync.fetches[part];
+
+	f->timer = HND_NONE;
+	if (!from) {
+		f->failures = 0;
+		if (part == SYNC_STATE)
+			read_store_instead(e, part);
+		return;
+	}
+	f->running = true;
+	f->started_ns = e->ev.now_ns;
+	e->sync.peers.fetch(e->sync.peers.ctx, part, from,
+			    part == SYNC_CONFIG ? FETCH_CONFIG_TIMEOUT_NS
+						: FETCH_TIMEOUT_NS);
 }
 
-static void on_fetch_timer(void *ctx, int64_t now_ns)
+static void on_config_fetch_timer(void *ctx, int64_t now_ns)
 {
-	struct edge *e = ctx;
-	const struct vm_row *vm = vm_find(e, e->sync.fetch_from);
+	begin_fetch(ctx, SYNC_CONFIG);
+}
 
-	e->sync.fetch_scheduled = false;
-	if (vm && !e->sync.fetching)
-		fetch_state(e, vm);
+static void on_state_fetch_timer(void *ctx, int64_t now_ns)
+{
+	begin_fetch(ctx, SYNC_STATE);
 }
 
-/* Fetches the state after a random delay, as all VMs that missed a notice fetch
- * it. */
-static void schedule_fetch(struct edge *e, const struct vm_row *from)
+static void schedule_fetch(struct edge *e, enum sync_part part, int64_t due_ns)
 {
-	if (e->sync.fetch_scheduled || e->sync.fetching)
+	if (is_fetching(e, part))
 		return;
-	e->sync.fetch_scheduled = true;
-	e->sync.fetch_from = from->key;
-	tmr_subscribe(
+	e->sync.fetches[part].timer = tmr_subscribe(
 		&e->ev.timers,
 		&(struct tmr_opts){
-			.due_ns = e->ev.now_ns +
-				  (int64_t)(edge_random(e) % FETCH_JITTER_NS),
-			.fire = on_fetch_timer,
+			.due_ns = due_ns,
+			.fire = part == SYNC_CONFIG ? on_config_fetch_timer
+						    : on_state_fetch_timer,
 			.ctx = e,
 		});
 }
 
+/* After a random delay, as other VMs fetch the same. */
+static void schedule_fetch_soon(struct edge *e, enum sync_part part)
+{
+	schedule_fetch(
+		e, part,
+		e->ev.now_ns + (int64_t)(edge_random(e) % FETCH_JITTER_NS));
+}
+
+static void schedule_fetch_retry(struct edge *e, enum sync_part part)
+{
+	uint32_t failures = e->sync.fetches[part].failures;
+	int64_t delay = FETCH_RETRY_MIN_NS << (failures <= FETCH_RETRY_DOUBLINGS
+						       ? failures - 1
+						       : FETCH_RETRY_DOUBLINGS);
+
+	schedule_fetch(e, part,
+		       e->ev.now_ns + delay / 2 +
+			       (int64_t)(edge_random(e) % (uint64_t)delay));
+}
+
+static void on_fetched(struct edge *e, enum sync_part part)
+{
+	struct sync_state *s = &e->sync;
+
+	s->fetches[part].failures = 0;
+	/* A peer has announced it; the readers of this region do so as well,
+	 * for it may be one of another region. */
+	if (sync_rank(e) < CONFIG_READERS)
+		announce_config(e);
+	else if (e->conf)
+		s->announced_config_version = e->conf->version;
+	if (part == SYNC_STATE) {
+		s->last_update_ns = e->ev.now_ns;
+		schedule_poll(
+			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
+	}
+	if (find_newer_config(e))
+		schedule_fetch_soon(e, SYNC_CONFIG);
+}
+
+void sync_fetch_done(struct edge *e, enum sync_part part,
+		     enum sync_fetch_result result)
+{
+	struct sync_fetch *f = &e->sync.fetches[part];
+	uint32_t max = part == SYNC_CONFIG ? MAX_CONFIG_FETCH_FAILURES
+					   : MAX_FETCH_FAILURES;
+	/* Changes of servers must be known soon. */
+	bool urgent = part == SYNC_STATE && edge_has_state(e) &&
+		      result == SYNC_FETCH_FAILED;
+
+	f->running = false;
+	if (result == SYNC_FETCHED) {
+		on_fetched(e, part);
+		return;
+	}
+	if (++f->failures >= max || urgent)
+		read_store_instead(e, part);
+	if (f->failures)
+		schedule_fetch_retry(e, part);
+}
+
+void sync_on_peer_config(struct edge *e, struct vm_row *from, uint64_t version)
+{
+	from->config_version = version;
+	/* The state that a VM lacks holds the configuration. */
+	if (edge_has_state(e) && has_newer_config(e, from))
+		schedule_fetch_soon(e, SYNC_CONFIG);
+}
+
+bool sync_may_serve(const struct edge *e)
+{
+	return edge_has_state(e) &&
+	       e->sync.serve_done_ns < e->ev.now_ns + MAX_SERVE_BACKLOG_NS;
+}
+
+void sync_on_served(struct edge *e, size_t bytes)
+{
+	struct sync_state *s = &e->sync;
+	int64_t mbps = (int64_t)e->settings.link_mbps;
+
+	if (s->serve_done_ns < e->ev.now_ns)
+		s->serve_done_ns = e->ev.now_ns;
+	s->serve_done_ns += (int64_t)bytes * 8000 / (mbps > 0 ? mbps : 1);
+}
+
 /* Tells a VM that the store was available while it could not read it, by a
  * notice without changes. Only the VMs that read in its place do so. */
 static void correct_reader(struct edge *e, const struct vm_row *to)
@@ -495,7 +660,7 @@
 	e->sync.peers.send_notice(e->sync.peers.ctx, &n, to);
 }
 
-void sync_on_notice(struct edge *e, const struct vm_row *from,
+void sync_on_notice(struct edge *e, struct vm_row *from,
 		    const struct sync_notice *n)
 {
 	struct sync_state *s = &e->sync;
@@ -503,12 +668,12 @@
 
 	if (!avail_on_report(&e->store, e->ev.now_ns, &n->store))
 		correct_reader(e, from);
-	/* Checked before the notice is ignored for outdated changes: a VM of
-	 * rank 1 that announces a new configuration may have an older table of
-	 * servers than this VM. */
-	if (!edge_has_state(e) || n->config_version > e->conf->version ||
-	    n->from_version > s->servers_version) {
-		schedule_fetch(e, from);
+	sync_on_peer_config(e, from, n->config_version);
+	if (!edge_has_state(e) || n->from_version > s->servers_version) {
+		if (!is_fetching(e, SYNC_STATE)) {
+			s->fetches[SYNC_STATE].announced_by = from->key;
+			schedule_fetch_soon(e, SYNC_STATE);
+		}
 		return;
 	}
 	if (n->to_version < s->servers_version)
@@ -520,7 +685,7 @@
 		reset_changes(s, n->to_version);
 	}
 	s->last_update_ns = e->ev.now_ns;
-	if (!s->reading_servers && !s->fetching && sync_rank(e))
+	if (!s->reading_servers && !is_fetching(e, SYNC_STATE) && sync_rank(e))
 		schedule_poll(
 			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
 }
--- a/src/edge/store_sync.h
+++ b/src/edge/store_sync.h
@@ -11,8 +11,13 @@
  * servers and broadcasts them to its region in change notices; the VMs of ranks
  * 0 and 1 long-poll for changes of the configuration. A VM that receives no
  * notice within its takeover delay reads the store itself; the delay grows with
- * the rank, so that the VMs do not all read at once. A VM that starts or has
- * missed a change fetches the state, that is both tables, from a peer.
+ * the rank, so that the VMs do not all read at once.
+ *
+ * Each message of a VM bears the version of its configuration. A VM that hears
+ * of a newer one fetches it from any VM that has it. A VM that starts or has
+ * missed a change of servers fetches the state, that is both tables, from a
+ * peer. A VM sends no more parts than its link carries within a short time; the
+ * others are asked for instead, of which there are more with each part sent.
  */
 
 enum sync_result {
@@ -45,14 +50,24 @@
 		      uint64_t version);
 void sync_servers_done(struct edge *e, enum sync_result result,
 		       uint64_t version);
-/* Handles the end of a fetch; ok if a state was applied. */
-void sync_fetch_done(struct edge *e, bool ok);
+void sync_fetch_done(struct edge *e, enum sync_part part,
+		     enum sync_fetch_result result);
+/* Records the version of the configuration that a message of a VM bears; 0 for
+ * none. */
+void sync_on_peer_config(struct edge *e, struct vm_row *from, uint64_t version);
+/* True when this VM has state, and its link has room to send a part to a
+ * peer. */
+bool sync_may_serve(const struct edge *e);
+/* Records that a part of that size was sent to a peer. */
+void sync_on_served(struct edge *e, size_t bytes);
 /* Handles a change notice of a peer. */
-void sync_on_notice(struct edge *e, const struct vm_row *from,
+void sync_on_notice(struct edge *e, struct vm_row *from,
 		    const struct sync_notice *n);
 /* Raises the versions that this VM's tables reflect to those of a state that
  * was fetched from a peer. */
 void sync_set_versions(struct edge *e, uint64_t config, uint64_t servers);
+/* The same for the configuration alone. */
+void sync_set_config_version(struct edge *e, uint64_t config);
 /*
  * Rank of this VM among the live VMs of its region: by link capacity, then by
  * key. 0 is the first reader of the store.
--- a/src/edge/sync_ops.h
+++ b/src/edge/sync_ops.h
@@ -22,14 +22,31 @@
 	void *ctx;
 };
 
+/* What is fetched from a peer. */
+enum sync_part {
+	/* The configuration, for a VM that has state. */
+	SYNC_CONFIG,
+	/* The configuration and the servers. */
+	SYNC_STATE,
+	SYNC_PARTS,
+};
+
+enum sync_fetch_result {
+	SYNC_FETCHED,
+	/* The peer refused, as it has no state or too much to send. */
+	SYNC_FETCH_BUSY,
+	SYNC_FETCH_FAILED,
+};
+
 struct sync_peer_ops {
 	/* Sends a change notice to a VM, or to all peers if that is NULL; false
 	 * if it does not fit a message. */
 	bool (*send_notice)(void *ctx, const struct sync_notice *n,
 			    const struct vm_row *to);
-	/* Begins to fetch the state of a VM. The state is applied before the
-	 * fetch ends with sync_fetch_done(). */
-	void (*fetch)(void *ctx, const struct vm_row *from, int64_t timeout_ns);
+	/* Begins to fetch a part from a VM. It is applied before the fetch ends
+	 * with sync_fetch_done(). */
+	void (*fetch)(void *ctx, enum sync_part part, const struct vm_row *from,
+		      int64_t timeout_ns);
 	void *ctx;
 };
 
--- a/tests/fuzz_edge_decoders.c
+++ b/tests/fuzz_edge_decoders.c
@@ -44,6 +44,16 @@
 	fix_free(&e);
 }
 
+static void apply_config(struct str input)
+{
+	static struct edge e;
+
+	fix_init(&e);
+	if (codec_apply_config(&e, input) && e.conf)
+		abort();
+	fix_free(&e);
+}
+
 static void parse_response(struct str input)
 {
 	static struct edge e;
@@ -58,11 +68,12 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static void (*const decoders[])(struct str) = {
-		decode_row, decode_config, apply_state, parse_response};
+		decode_row, decode_config, apply_state, parse_response,
+		apply_config};
 	struct str input = {(const char *)data + 1, size - 1};
 
 	if (!size)
 		return 0;
-	decoders[data[0] % 4](input);
+	decoders[data[0] % 5](input);
 	return 0;
 }
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -402,6 +402,11 @@
 	return change;
 }
 
+static bool is_fetch_due(enum sync_part part)
+{
+	return !hnd_eq(e.sync.fetches[part].timer, HND_NONE);
+}
+
 /* Guards against changes that are lost between notices, and against old notices
  * that overwrite newer state. */
 static void test_notices(void **state)
@@ -411,18 +416,21 @@
 		uint64_t from, to;
 		uint64_t config;
 		bool applied;
-		/* The VM schedules a fetch of the state. */
-		bool fetches;
+		/* The VM schedules a fetch of the state; of the
+		 * configuration. */
+		bool fetches_state, fetches_config;
 		uint64_t version;
 	} cases[] = {
-		{"next", 5, 6, 1, true, false, 6},
-		{"with earlier changes", 3, 6, 1, true, false, 6},
-		{"gap", 6, 8, 1, false, true, 5},
-		{"old", 1, 3, 1, false, false, 5},
-		{"new configuration", 5, 6, 2, false, true, 5},
+		{"next", 5, 6, 1, true, false, false, 6},
+		{"with earlier changes", 3, 6, 1, true, false, false, 6},
+		{"gap", 6, 8, 1, false, true, false, 5},
+		{"old", 1, 3, 1, false, false, false, 5},
+		{"new configuration", 5, 6, 2, true, false, true, 6},
+		{"new configuration, gap", 6, 8, 2, false, true, true, 5},
 		/* From a VM of rank 1 whose table of servers is older than this
 		 * VM's (replay: kanal-tor, trouble-3, seed 1086452995205). */
-		{"new configuration, old changes", 1, 3, 2, false, true, 5},
+		{"new configuration, old changes", 1, 3, 2, false, false, true,
+		 5},
 	};
 	size_t i;
 
@@ -448,11 +456,13 @@
 		sync_on_notice(&e, tab_at(&e.vms, 1), &n);
 		s = srv_find(&e, edge_key(STR("i-0")), NULL);
 		if ((s->state == SRV_DRAINING) != cases[i].applied ||
-		    e.sync.fetch_scheduled != cases[i].fetches ||
+		    is_fetch_due(SYNC_STATE) != cases[i].fetches_state ||
+		    is_fetch_due(SYNC_CONFIG) != cases[i].fetches_config ||
 		    e.sync.servers_version != cases[i].version)
-			fail_msg("%s: state %d, fetch %d, version %llu",
+			fail_msg("%s: state %d, fetches %d %d, version %llu",
 				 cases[i].name, s->state,
-				 e.sync.fetch_scheduled,
+				 is_fetch_due(SYNC_STATE),
+				 is_fetch_due(SYNC_CONFIG),
 				 (unsigned long long)e.sync.servers_version);
 		fix_free(&e);
 	}
@@ -589,6 +599,82 @@
 	strbuf_free(&bytes);
 }
 
+/* Guards against a configuration that is altered on its way to another VM, is
+ * applied in part, or replaces a newer one, and against servers that a VM takes
+ * for known with it. */
+static void test_config(void **state)
+{
+	static const struct {
+		/* Versions of the receiver, of the sender, and afterwards. */
+		uint64_t own, sent, after;
+	} cases[] = {{0, 4, 4}, {3, 4, 4}, {4, 4, 4}, {5, 4, 5}};
+	size_t i, len;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct strbuf bytes;
+
+		strbuf_init(&bytes);
+		fix_init(&e);
+		edge_set_conf(&e, new_conf(cases[i].sent));
+		sync_set_config_version(&e, 9);
+		codec_write_config(&e, cases[i].own, &bytes);
+		fix_free(&e);
+		for (len = 0; len <= bytes.len; len++) {
+			bool whole = len == bytes.len;
+
+			fix_init(&e);
+			if (cases[i].own)
+				edge_set_conf(&e, new_conf(cases[i].own));
+			assert_int_equal(
+				codec_apply_config(
+					&e, (struct str){bytes.ptr, len}),
+				whole ? ERR_OK : ERR_INVALID);
+			assert_int_equal(e.conf ? e.conf->version : 0,
+					 whole ? cases[i].after : cases[i].own);
+			assert_int_equal(e.sync.config_version, whole ? 9 : 0);
+			assert_false(e.servers_known);
+			fix_free(&e);
+		}
+		strbuf_free(&bytes);
+	}
+}
+
+/* Guards against a VM that sends its state to so many peers at once that none
+ * gets it in time. */
+static void test_serving_peers(void **state)
+{
+	static const struct {
+		uint64_t mbps;
+		size_t bytes;
+		/* Peers that are served at once, at least and at most. */
+		int min, max;
+	} cases[] = {
+		{20, 52000, 8, 12}, {200, 52000, 90, 100}, {20, 2000000, 1, 1}};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		int served = 0;
+
+		fix_init(&e);
+		assert_false(sync_may_serve(&e));
+		edge_set_conf(&e, new_conf(1));
+		e.servers_known = true;
+		e.settings.link_mbps = cases[i].mbps;
+		while (sync_may_serve(&e) && served < 1000) {
+			sync_on_served(&e, cases[i].bytes);
+			served++;
+		}
+		if (served < cases[i].min || served > cases[i].max)
+			fail_msg("%d Mbit/s: %d peers", (int)cases[i].mbps,
+				 served);
+		fix_advance(&e, NS_PER_S);
+		assert_true(sync_may_serve(&e));
+		fix_free(&e);
+	}
+}
+
 /* Guards against load reports that are counted twice or do not expire. */
 static void test_load_reports(void **state)
 {
@@ -626,6 +712,8 @@
 		cmocka_unit_test(test_notices),
 		cmocka_unit_test(test_large_notice),
 		cmocka_unit_test(test_state),
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_serving_peers),
 		cmocka_unit_test(test_load_reports),
 	};
 
