Edge: a region always has two readers of the configuration

Cause: a VM opened its long poll of the configuration only when the timer of its polls fired, and each notice of the first reader, every 0.6 s, set that timer again. A VM that became the second reader, or that was restarted, never opened it; and a reader that had ended counted for the 5 s in which its row expires. A region then had one reader, and a response that it lost, which takes 2.2 s to detect, delayed the change for all.

Fix: whenever a notice postpones the timer, the VM opens the long poll if it is a reader. Readers are counted from the sender of the last notice on, since the VMs before it are silent. The line "reader" logs who is one.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -147,6 +147,10 @@
 	int64_t last_update_ns;
 	struct hnd timer;
 	bool reading_config;
+	/* This VM long-polls for changes of the configuration. */
+	bool config_reader;
+	/* Rank of the VM that sent the last notice, this one included. */
+	uint32_t notice_rank;
 	bool reading_servers;
 	/* The current or last read of the servers asked for the changes after
 	 * this version; 0 for a read of all rows. */
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -97,6 +97,41 @@
 				  wait_ns);
 }
 
+/*
+ * True for a VM that long-polls for changes of the configuration: the VMs of
+ * the first ranks. Those before the sender of the last notice do not count, as
+ * it has taken over from them; their rows may take seconds to expire.
+ */
+static bool is_config_reader(const struct edge *e)
+{
+	uint32_t rank = sync_rank(e);
+	uint32_t silent = e->sync.notice_rank;
+
+	return rank - (silent <= rank ? silent : 0) < CONFIG_READERS;
+}
+
+/*
+ * Opens the long poll of a reader of the configuration. Called whenever the
+ * timer of the polls is set, since notices may postpone its end for ever; a VM
+ * becomes a reader when one of a lower rank ends.
+ */
+static void keep_long_poll(struct edge *e)
+{
+	bool reader = is_config_reader(e);
+
+	if (reader != e->sync.config_reader)
+		logs_event(LOGS_INFO, "reader",
+			   (struct logs_field[]){
+				   LOGS_INT("config", reader),
+				   LOGS_INT("rank", sync_rank(e)),
+			   },
+			   2);
+	e->sync.config_reader = reader;
+	if (reader && edge_has_state(e) &&
+	    e->ev.now_ns >= e->sync.config_retry_ns)
+		read_config(e, CONFIG_LONG_POLL_NS);
+}
+
 static void poll_store(struct edge *e, uint32_t rank)
 {
 	if (!e->sync.reading_servers) {
@@ -143,8 +178,7 @@
 	}
 	e->sync.fetch_failed = false;
 	if (now_ns < due && !(rank < CONFIG_READERS && !edge_has_state(e))) {
-		if (rank < CONFIG_READERS && edge_has_state(e))
-			read_config(e, CONFIG_LONG_POLL_NS);
+		keep_long_poll(e);
 		schedule_poll(e, due);
 		return;
 	}
@@ -369,7 +403,9 @@
 		s->servers_version = version;
 	e->servers_known = true;
 	s->last_update_ns = e->ev.now_ns;
+	s->notice_rank = sync_rank(e);
 	send_notices(e);
+	keep_long_poll(e);
 	schedule_poll(e, e->ev.now_ns + (sync_rank(e) ? takeover_delay_ns(
 								e, sync_rank(e))
 						      : POLL_INTERVAL_NS));
@@ -417,7 +453,7 @@
 {
 	struct edge *e = ctx;
 
-	if (!e->conf || sync_rank(e) < CONFIG_READERS)
+	if (!e->conf || is_config_reader(e))
 		read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
 }
 
@@ -446,7 +482,8 @@
 	s->config_failing = false;
 	s->config_version = result == SYNC_TOO_OLD ? 0 : version;
 	announce_config(e);
-	if (result == SYNC_TOO_OLD || sync_rank(e) < CONFIG_READERS)
+	keep_long_poll(e);
+	if (result == SYNC_TOO_OLD || is_config_reader(e))
 		read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
 }
 
@@ -590,7 +627,7 @@
 	s->fetches[part].failures = 0;
 	/* A peer has announced it; the readers of this region do so as well,
 	 * for it may be one of another region. */
-	if (sync_rank(e) < CONFIG_READERS)
+	if (is_config_reader(e))
 		announce_config(e);
 	else if (e->conf)
 		s->announced_config_version = e->conf->version;
@@ -668,6 +705,7 @@
 
 	if (!avail_on_report(&e->store, e->ev.now_ns, &n->store))
 		correct_reader(e, from);
+	s->notice_rank = sync_rank_of(e, from);
 	sync_on_peer_config(e, from, n->config_version);
 	if (!edge_has_state(e) || n->from_version > s->servers_version) {
 		if (!is_fetching(e, SYNC_STATE)) {
@@ -685,6 +723,7 @@
 		reset_changes(s, n->to_version);
 	}
 	s->last_update_ns = e->ev.now_ns;
+	keep_long_poll(e);
 	if (!s->reading_servers && !is_fetching(e, SYNC_STATE) && sync_rank(e))
 		schedule_poll(
 			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
--- a/src/edge/store_sync.h
+++ b/src/edge/store_sync.h
@@ -73,5 +73,7 @@
  * key. 0 is the first reader of the store.
  */
 uint32_t sync_rank(const struct edge *e);
+/* The same for another VM of the region. */
+uint32_t sync_rank_of(const struct edge *e, const struct vm_row *of);
 
 #endif
--- a/src/edge/store_sync_rank.c
+++ b/src/edge/store_sync_rank.c
@@ -9,17 +9,21 @@
 	return a->key < b->key;
 }
 
-uint32_t sync_rank(const struct edge *e)
+uint32_t sync_rank_of(const struct edge *e, const struct vm_row *of)
 {
-	const struct vm_row *self = vm_self(e);
 	uint32_t i, rank = 0;
 
 	for (i = 0; i < e->vms.len; i++) {
 		const struct vm_row *vm = tab_at(&e->vms, i);
 
-		rank += vm->key != e->self && vm->region == e->region &&
+		rank += vm->key != of->key && vm->region == e->region &&
 			vm->state == VM_ACTIVE && vm_is_alive(e, vm) &&
-			ranks_before(vm, self);
+			ranks_before(vm, of);
 	}
 	return rank;
 }
+
+uint32_t sync_rank(const struct edge *e)
+{
+	return sync_rank_of(e, vm_self(e));
+}
--- a/tests/edge_region_sim.h
+++ b/tests/edge_region_sim.h
@@ -23,7 +23,6 @@
 #define SIM_WEAK_MBPS 20
 #define SIM_REGION_MBPS 150
 #define SIM_STABILITY_MS 4000
-#define SIM_CONFIG_APPLY_MS 3000
 /* Delays: to a VM of the region, and to the store in the other one. */
 #define SIM_PEER_MS 2
 #define SIM_STORE_MS 16
@@ -74,6 +73,8 @@
 	int servers;
 	int end_ms;
 	int loss_permille;
+	/* Bound within which a change must be in force. */
+	int config_apply_ms;
 	/* The VMs start at 0 with nothing, otherwise with the same state. */
 	bool starts_empty;
 	struct sim_fault faults[SIM_MAX_FAULTS];
@@ -141,6 +142,8 @@
 	const struct sim_case *c;
 	uint64_t random;
 	int now_ms;
+	/* Added to the times of all faults. */
+	int shift_ms;
 	struct sim_vm *vms;
 	struct sim_server servers[SIM_MAX_SERVERS];
 	uint64_t store_version;
@@ -697,7 +700,8 @@
 	int k, times = f->kind == SIM_CONFIG && f->count ? f->count : 1;
 
 	for (k = 0; k < times; k++)
-		if (f->kind && sim.now_ms == f->at_ms + k * f->gap_ms)
+		if (f->kind &&
+		    sim.now_ms == f->at_ms + sim.shift_ms + k * f->gap_ms)
 			return true;
 	return false;
 }
@@ -721,7 +725,7 @@
 	int i, late = 0;
 
 	for (i = 1; i <= (int)sim.config_version; i++)
-		if (sim.now_ms > sim.acked_ms[i] + SIM_CONFIG_APPLY_MS)
+		if (sim.now_ms > sim.acked_ms[i] + sim.c->config_apply_ms)
 			due = (uint64_t)i;
 	for (i = 0; i < sim.c->vms; i++) {
 		struct sim_vm *v = &sim.vms[i];
@@ -805,6 +809,7 @@
 	memset(&sim, 0, sizeof(sim));
 	sim.c = c;
 	sim.random = seed * 7919 + 17;
+	sim.shift_ms = c->starts_empty ? 0 : (int)(seed * 370 % 1500);
 	sim.vms = calloc((size_t)c->vms, sizeof(*sim.vms));
 	for (i = 0; i < c->servers; i++) {
 		snprintf(sim.servers[i].id, sizeof(sim.servers[i].id), "i-%08x",
@@ -842,7 +847,8 @@
 		sim.vms[i].announced = true;
 	}
 	strbuf_free(&state);
-	for (sim.now_ms = 0; sim.now_ms < c->end_ms; sim.now_ms++)
+	for (sim.now_ms = 0; sim.now_ms < c->end_ms + sim.shift_ms;
+	     sim.now_ms++)
 		sim_step();
 	for (i = 0; i < c->vms; i++) {
 		if (sim_is_up(&sim, &sim.vms[i]))
