Edge: a lost response to both readers delays a configuration by 1.5 s at most

Cause: a long poll of the configuration lasts 1.5 s and was given up 0.7 s later, so a lost response was detected after up to 2.2 s. A second reader covers the loss of one response, not of both, as when the store's connections fall silent together.

Fix: 1 s and 0.5 s. It costs two long polls a region each second in place of 1.3.

--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -19,9 +19,10 @@
 /* VMs of a region that long-poll for changes of the configuration. */
 #define CONFIG_READERS 2
 /* Longest time that the store holds a long poll without a change. A lost
- * response is detected only afterwards, so this is below the 2 s within which
- * a change must be known. */
-#define CONFIG_LONG_POLL_NS (1500 * NS_PER_MS)
+ * response is detected only afterwards and after the margin of the platform's
+ * client, 0.5 s; what remains of the 2 s within which a change must be known
+ * is for the next read and the other VMs. */
+#define CONFIG_LONG_POLL_NS (1000 * NS_PER_MS)
 /* Times that the first notice of a new configuration is repeated, against lost
  * datagrams. */
 #define CONFIG_NOTICE_REPEATS 2
--- a/tests/edge_region_sim.h
+++ b/tests/edge_region_sim.h
@@ -32,7 +32,7 @@
 /* Time that the store's watches hear nothing before the history is gone. */
 #define SIM_SILENT_MS 1000
 #define SIM_CALL_TIMEOUT_MS 1500
-#define SIM_LONG_POLL_MARGIN_MS 700
+#define SIM_LONG_POLL_MARGIN_MS 500
 #define SIM_START_MS 1000000
 
 enum sim_kind {
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -332,7 +332,8 @@
 }
 
 /* Guards against a long poll of the configuration whose response is lost. The
- * loss is detected only when the poll times out, which must be within 2 s, the
+ * loss is detected only when the poll times out; with the margin of 0.5 s, the
+ * next read and the fetches of the other VMs, this must be within 2 s, the
  * bound for a change to be known. */
 static void test_config_long_poll(void **state)
 {
@@ -343,7 +344,8 @@
 	start_sync();
 	run_for(400 * NS_PER_MS);
 	assert_int_equal(reads.config, 1);
-	assert_true(reads.wait_ns <= 2 * NS_PER_S);
+	assert_true(reads.wait_ns + 500 * NS_PER_MS <=
+		    2 * NS_PER_S - 300 * NS_PER_MS);
 	sync_config_done(&e, SYNC_FAILED, 0);
 	run_for(NS_PER_S);
 	assert_int_equal(reads.config, 2);
