--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -129,7 +129,7 @@
 	int64_t started_ns;
 	/* The next attempt; HND_NONE for none. */
 	struct hnd timer;
-	/* VM whose notice has shown that the part is needed. */
+	/* VM whose message has shown that the part is needed. */
 	uint64_t announced_by;
 	/* Failed attempts in a row. */
 	uint32_t failures;
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -39,8 +39,9 @@
 /* Exponential backoff after failed fetches. */
 #define FETCH_RETRY_MIN_NS (50 * NS_PER_MS)
 #define FETCH_RETRY_DOUBLINGS 3
-/* Failed fetches in a row after which the store is read. */
-#define MAX_FETCH_FAILURES 5
+/* Failed fetches in a row after which the store is read; one that failed late
+ * counts twice. */
+#define MAX_FETCH_FAILURES 4
 #define MAX_CONFIG_FETCH_FAILURES 2
 /* What a VM's link has still to carry to peers when it refuses to send them
  * more, as the time that this takes. */
@@ -530,14 +531,17 @@
 	return found;
 }
 
-/* The VM that announced what this one lacks is asked first, then any. */
-static const struct vm_row *find_state(struct edge *e)
+/* The VM that announced what this one lacks is asked first, as it has just been
+ * alive; then any. */
+static const struct vm_row *find_source(struct edge *e, enum sync_part part)
 {
-	struct sync_fetch *f = &e->sync.fetches[SYNC_STATE];
+	struct sync_fetch *f = &e->sync.fetches[part];
 	const struct vm_row *vm = vm_find(e, f->announced_by);
 
 	f->announced_by = 0;
-	return vm ? vm : find_ready_peer(e);
+	if (vm)
+		return vm;
+	return part == SYNC_CONFIG ? find_newer_config(e) : find_ready_peer(e);
 }
 
 static void read_store_instead(struct edge *e, enum sync_part part)
@@ -559,8 +563,7 @@
 
 static void begin_fetch(struct edge *e, enum sync_part part)
 {
-	const struct vm_row *from = part == SYNC_CONFIG ? find_newer_config(e)
-							: find_state(e);
+	const struct vm_row *from = find_source(e, part);
 	struct sync_fetch *f = &e->sync.fetches[part];
 
 	f->timer = HND_NONE;
@@ -602,8 +605,11 @@
 }
 
 /* After a random delay, as other VMs fetch the same. */
-static void schedule_fetch_soon(struct edge *e, enum sync_part part)
+static void schedule_fetch_soon(struct edge *e, enum sync_part part,
+				uint64_t announced_by)
 {
+	if (!is_fetching(e, part))
+		e->sync.fetches[part].announced_by = announced_by;
 	schedule_fetch(
 		e, part,
 		e->ev.now_ns + (int64_t)(edge_random(e) % FETCH_JITTER_NS));
@@ -638,7 +644,7 @@
 			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
 	}
 	if (find_newer_config(e))
-		schedule_fetch_soon(e, SYNC_CONFIG);
+		schedule_fetch_soon(e, SYNC_CONFIG, 0);
 }
 
 void sync_fetch_done(struct edge *e, enum sync_part part,
@@ -656,7 +662,8 @@
 		on_fetched(e, part);
 		return;
 	}
-	if (++f->failures >= max || urgent)
+	f->failures += result == SYNC_FETCH_FAILED ? 2 : 1;
+	if (f->failures >= max || urgent)
 		read_store_instead(e, part);
 	if (f->failures)
 		schedule_fetch_retry(e, part);
@@ -667,7 +674,7 @@
 	from->config_version = version;
 	/* The state that a VM lacks holds the configuration. */
 	if (edge_has_state(e) && has_newer_config(e, from))
-		schedule_fetch_soon(e, SYNC_CONFIG);
+		schedule_fetch_soon(e, SYNC_CONFIG, from->key);
 }
 
 bool sync_may_serve(const struct edge *e)
@@ -709,10 +716,7 @@
 	s->notice_rank = sync_rank_of(e, from);
 	sync_on_peer_config(e, from, n->config_version);
 	if (!edge_has_state(e) || n->from_version > s->servers_version) {
-		if (!is_fetching(e, SYNC_STATE)) {
-			s->fetches[SYNC_STATE].announced_by = from->key;
-			schedule_fetch_soon(e, SYNC_STATE);
-		}
+		schedule_fetch_soon(e, SYNC_STATE, from->key);
 		return;
 	}
 	if (n->to_version < s->servers_version)
--- a/tests/edge_region_sim.h
+++ b/tests/edge_region_sim.h
@@ -160,6 +160,8 @@
 	/* Results. */
 	long store_reads, fetches, fetches_busy, fetches_failed;
 	int late_vms, late_ms;
+	/* Sum over the VMs of the time in which they run without state. */
+	long empty_ms;
 	/* Longest time from an acknowledgement until all VMs that nothing
 	 * disturbed have it. */
 	int longest_ms;
@@ -727,6 +729,11 @@
 	for (i = 1; i <= (int)sim.config_version; i++)
 		if (sim.now_ms > sim.acked_ms[i] + sim.c->config_apply_ms)
 			due = (uint64_t)i;
+	for (i = 0; i < sim.c->vms; i++)
+		sim.empty_ms += sim_is_up(&sim, &sim.vms[i]) &&
+						!edge_has_state(&sim.vms[i].e)
+					? 10
+					: 0;
 	for (i = 0; i < sim.c->vms; i++) {
 		struct sim_vm *v = &sim.vms[i];
 		uint64_t has;
@@ -755,11 +762,12 @@
 	int i;
 
 	sim_step_faults();
+	for (i = 0; i < sim.c->vms; i++)
+		if (sim.vms[i].down_until_ms == sim.now_ms && sim.now_ms)
+			sim_start_vm(&sim.vms[i], sim.vms[i].e.incarnation + 1);
 	for (i = 0; i < sim.c->vms; i++) {
 		struct sim_vm *v = &sim.vms[i];
 
-		if (v->down_until_ms == sim.now_ms && sim.now_ms)
-			sim_start_vm(v, v->e.incarnation + 1);
 		if (!sim_is_up(&sim, v))
 			continue;
 		v->e.ev.now_ns = sim_ns(sim.now_ms);
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -125,6 +125,35 @@
 	 true,
 	 {{SIM_KILL, 10, 20000, 0, 12},
 	  {SIM_CONFIG, 2000, .count = 2, .gap_ms = 3000}}},
+	{"more than half are killed just after a change",
+	 221,
+	 900,
+	 14000,
+	 0,
+	 LARGE_APPLY_MS,
+	 false,
+	 {{SIM_CONFIG, 4000},
+	  {SIM_KILL, 4030, 3000, .share_percent = 55},
+	  {SIM_CONFIG, 4100}}},
+	{"killed twice, then a change",
+	 221,
+	 900,
+	 16000,
+	 5,
+	 LARGE_APPLY_MS,
+	 false,
+	 {{SIM_KILL, 3000, 1000, .share_percent = 80},
+	  {SIM_KILL, 4500, 1000, .share_percent = 80},
+	  {SIM_CONFIG, 5600, .count = 3, .gap_ms = 400}}},
+	{"all start with nothing, half of them down for good",
+	 221,
+	 900,
+	 14000,
+	 0,
+	 LARGE_APPLY_MS,
+	 true,
+	 {{SIM_KILL, 10, 60000, .share_percent = 50},
+	  {SIM_CONFIG, 2000, .count = 2, .gap_ms = 3000}}},
 	{"cut off, and a change as they return",
 	 221,
 	 900,
@@ -192,13 +221,14 @@
 	for (i = 0; i < COUNT(cases); i++) {
 		for (seed = 1; seed <= seeds; seed++) {
 			sim_play(&cases[i], seed);
-			print_message("%s, seed %d: in force after %d ms, late "
-				      "%d VMs; %ld reads, %ld fetches, %ld of "
-				      "them refused, %ld failed\n",
-				      cases[i].name, (int)seed, sim.longest_ms,
-				      sim.late_vms, sim.store_reads,
-				      sim.fetches, sim.fetches_busy,
-				      sim.fetches_failed);
+			print_message(
+				"%s, seed %d: in force after %d ms, late "
+				"%d VMs; %ld reads, %ld fetches, %ld of "
+				"them refused, %ld failed; %ld ms without state\n",
+				cases[i].name, (int)seed, sim.longest_ms,
+				sim.late_vms, sim.store_reads, sim.fetches,
+				sim.fetches_busy, sim.fetches_failed,
+				sim.empty_ms / cases[i].vms);
 			failed += sim.late_vms > 0;
 		}
 	}
