--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -617,11 +617,11 @@
 
 static void schedule_fetch_retry(struct edge *e, enum sync_part part)
 {
-	uint32_t failures = e->sync.fetches[part].failures;
-	int64_t delay = FETCH_RETRY_MIN_NS << (failures <= FETCH_RETRY_DOUBLINGS
-						       ? failures - 1
-						       : FETCH_RETRY_DOUBLINGS);
+	uint32_t i, failures = e->sync.fetches[part].failures;
+	int64_t delay = FETCH_RETRY_MIN_NS;
 
+	for (i = 1; i < failures && i <= FETCH_RETRY_DOUBLINGS; i++)
+		delay *= 2;
 	schedule_fetch(e, part,
 		       e->ev.now_ns + delay / 2 +
 			       (int64_t)(edge_random(e) % (uint64_t)delay));
