--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -4,6 +4,7 @@
 
 #include "edge_membership.h"
 #include "logs.h"
+#include "store_sync_internal.h"
 
 /* Interval at which the VM of rank 0 polls for changes of servers. */
 #define POLL_INTERVAL_NS (600 * NS_PER_MS)
@@ -32,25 +33,10 @@
 /* Exponential backoff after failed reads of the store. */
 #define RETRY_DELAY_MIN_NS (200 * NS_PER_MS)
 #define RETRY_DELAY_MAX_NS (1600 * NS_PER_MS)
-/* Fetches from peers. */
-#define FETCH_TIMEOUT_NS (1000 * NS_PER_MS)
-#define FETCH_CONFIG_TIMEOUT_NS (500 * NS_PER_MS)
-#define FETCH_JITTER_NS (60 * NS_PER_MS)
-/* Exponential backoff after failed fetches. */
-#define FETCH_RETRY_MIN_NS (50 * NS_PER_MS)
-#define FETCH_RETRY_DOUBLINGS 3
-/* Failed fetches in a row after which the store is read; one that failed late
- * counts twice. */
-#define MAX_FETCH_FAILURES 4
-#define MAX_CONFIG_FETCH_FAILURES 2
-/* What a VM's link has still to carry to peers when it refuses to send them
- * more, as the time that this takes. */
-#define MAX_SERVE_BACKLOG_NS (200 * NS_PER_MS)
 
 static void on_poll_timer(void *ctx, int64_t now_ns);
-static void schedule_fetch(struct edge *e, enum sync_part part, int64_t due_ns);
 
-static void schedule_poll(struct edge *e, int64_t due_ns)
+void sync_schedule_poll(struct edge *e, int64_t due_ns)
 {
 	tmr_cancel(&e->ev.timers, e->sync.timer);
 	e->sync.timer =
@@ -61,8 +47,7 @@
 					     });
 }
 
-/* Time without a notice after which a VM of that rank reads the store. */
-static int64_t takeover_delay_ns(struct edge *e, uint32_t rank)
+int64_t sync_takeover_delay_ns(struct edge *e, uint32_t rank)
 {
 	if (!rank)
 		return 0;
@@ -74,23 +59,7 @@
 	       (int64_t)(edge_random(e) % TAKEOVER_JITTER_NS);
 }
 
-/* Finds a random ready peer to fetch the state from; NULL if there is none. */
-static const struct vm_row *find_ready_peer(struct edge *e)
-{
-	uint32_t i, len = e->vms.len;
-	uint32_t start = (uint32_t)(edge_random(e) % len);
-
-	for (i = 0; i < len; i++) {
-		const struct vm_row *vm = tab_at(&e->vms, (start + i) % len);
-
-		if (vm->key != e->self && vm->ready &&
-		    vm->region == e->region && vm_is_alive(e, vm))
-			return vm;
-	}
-	return NULL;
-}
-
-static void read_config(struct edge *e, int64_t wait_ns)
+void sync_read_config(struct edge *e, int64_t wait_ns)
 {
 	if (e->sync.reading_config)
 		return;
@@ -99,12 +68,7 @@
 				  wait_ns);
 }
 
-/*
- * True for a VM that long-polls for changes of the configuration: the VMs of
- * the first ranks. Those before the sender of the last notice do not count, as
- * it has taken over from them; their rows may take seconds to expire.
- */
-static bool is_config_reader(const struct edge *e)
+bool sync_is_config_reader(const struct edge *e)
 {
 	uint32_t rank = sync_rank(e);
 	uint32_t silent = e->sync.notice_rank;
@@ -119,7 +83,7 @@
  */
 static void keep_long_poll(struct edge *e)
 {
-	bool reader = is_config_reader(e);
+	bool reader = sync_is_config_reader(e);
 
 	if (reader != e->sync.config_reader)
 		logs_event(LOGS_INFO, "reader",
@@ -131,7 +95,7 @@
 	e->sync.config_reader = reader;
 	if (reader && edge_has_state(e) &&
 	    e->ev.now_ns >= e->sync.config_retry_ns)
-		read_config(e, CONFIG_LONG_POLL_NS);
+		sync_read_config(e, CONFIG_LONG_POLL_NS);
 }
 
 static void poll_store(struct edge *e, uint32_t rank)
@@ -143,17 +107,9 @@
 					   e->sync.servers_version);
 	}
 	if (e->ev.now_ns >= e->sync.config_retry_ns)
-		read_config(e, rank < CONFIG_READERS && e->conf
-				       ? CONFIG_LONG_POLL_NS
-				       : 0);
-}
-
-/* A fetch is running or scheduled. */
-static bool is_fetching(const struct edge *e, enum sync_part part)
-{
-	const struct sync_fetch *f = &e->sync.fetches[part];
-
-	return f->running || !hnd_eq(f->timer, HND_NONE);
+		sync_read_config(e, rank < CONFIG_READERS && e->conf
+					    ? CONFIG_LONG_POLL_NS
+					    : 0);
 }
 
 /*
@@ -167,21 +123,21 @@
 {
 	struct edge *e = ctx;
 	uint32_t rank = sync_rank(e);
-	int64_t due = e->sync.last_update_ns + takeover_delay_ns(e, rank);
+	int64_t due = e->sync.last_update_ns + sync_takeover_delay_ns(e, rank);
 	const struct vm_row *from;
 
 	e->sync.timer = HND_NONE;
-	if (e->sync.reading_servers || is_fetching(e, SYNC_STATE))
+	if (e->sync.reading_servers || sync_is_fetching(e, SYNC_STATE))
 		return;
-	from = edge_has_state(e) ? NULL : find_ready_peer(e);
+	from = edge_has_state(e) ? NULL : sync_find_ready_peer(e);
 	if (from && !e->sync.fetch_failed) {
-		schedule_fetch(e, SYNC_STATE, now_ns);
+		sync_schedule_fetch(e, SYNC_STATE, now_ns);
 		return;
 	}
 	e->sync.fetch_failed = false;
 	if (now_ns < due && !(rank < CONFIG_READERS && !edge_has_state(e))) {
 		keep_long_poll(e);
-		schedule_poll(e, due);
+		sync_schedule_poll(e, due);
 		return;
 	}
 	poll_store(e, rank);
@@ -360,7 +316,7 @@
 	if (!s->servers_failing)
 		log_store_state(e, "servers", "lost", true);
 	s->servers_failing = true;
-	schedule_poll(e, next_retry_ns(e, &s->servers_backoff_ns));
+	sync_schedule_poll(e, next_retry_ns(e, &s->servers_backoff_ns));
 }
 
 /* Replaces a read that began before the store recovered, as its response may
@@ -374,7 +330,7 @@
 	s->reading_config = false;
 	s->config_retry_ns = 0;
 	s->config_backoff_ns = RETRY_DELAY_MIN_NS;
-	read_config(e, 0);
+	sync_read_config(e, 0);
 }
 
 void sync_servers_done(struct edge *e, enum sync_result result,
@@ -397,7 +353,7 @@
 	if (result == SYNC_TOO_OLD) {
 		log_store_state(e, "servers", "history gone", false);
 		s->servers_version = 0;
-		schedule_poll(e, e->ev.now_ns);
+		sync_schedule_poll(e, e->ev.now_ns);
 		return;
 	}
 	record_read(s, version);
@@ -408,9 +364,10 @@
 	s->notice_rank = sync_rank(e);
 	send_notices(e);
 	keep_long_poll(e);
-	schedule_poll(e, e->ev.now_ns + (sync_rank(e) ? takeover_delay_ns(
-								e, sync_rank(e))
-						      : POLL_INTERVAL_NS));
+	sync_schedule_poll(
+		e, e->ev.now_ns + (sync_rank(e) ? sync_takeover_delay_ns(
+							  e, sync_rank(e))
+						: POLL_INTERVAL_NS));
 }
 
 /* Repeats a notice of a new configuration, which may be lost. The periodic
@@ -431,8 +388,7 @@
 			});
 }
 
-/* Sends a notice of a new configuration. */
-static void announce_config(struct edge *e)
+void sync_announce_config(struct edge *e)
 {
 	struct sync_state *s = &e->sync;
 
@@ -455,8 +411,8 @@
 {
 	struct edge *e = ctx;
 
-	if (!e->conf || is_config_reader(e))
-		read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
+	if (!e->conf || sync_is_config_reader(e))
+		sync_read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
 }
 
 void sync_config_done(struct edge *e, enum sync_result result, uint64_t version)
@@ -483,10 +439,10 @@
 		log_store_state(e, "config", "regained", false);
 	s->config_failing = false;
 	s->config_version = result == SYNC_TOO_OLD ? 0 : version;
-	announce_config(e);
+	sync_announce_config(e);
 	keep_long_poll(e);
-	if (result == SYNC_TOO_OLD || is_config_reader(e))
-		read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
+	if (result == SYNC_TOO_OLD || sync_is_config_reader(e))
+		sync_read_config(e, e->conf ? CONFIG_LONG_POLL_NS : 0);
 }
 
 void sync_set_config_version(struct edge *e, uint64_t config)
@@ -505,194 +461,6 @@
 	e->servers_known = true;
 }
 
-static bool has_newer_config(const struct edge *e, const struct vm_row *vm)
-{
-	return vm->key != e->self && vm_is_alive(e, vm) && e->conf &&
-	       vm->config_version > e->conf->version;
-}
-
-/* Finds a random VM with a newer configuration, one of this region if there is
- * any; NULL for none. */
-static const struct vm_row *find_newer_config(struct edge *e)
-{
-	uint32_t i, len = e->vms.len;
-	uint32_t start = (uint32_t)(edge_random(e) % len);
-	const struct vm_row *found = NULL;
-
-	for (i = 0; i < len; i++) {
-		const struct vm_row *vm = tab_at(&e->vms, (start + i) % len);
-
-		if (!has_newer_config(e, vm))
-			continue;
-		if (vm->region == e->region)
-			return vm;
-		found = vm;
-	}
-	return found;
-}
-
-/* The VM that announced what this one lacks is asked first, as it has just been
- * alive; then any. */
-static const struct vm_row *find_source(struct edge *e, enum sync_part part)
-{
-	struct sync_fetch *f = &e->sync.fetches[part];
-	const struct vm_row *vm = vm_find(e, f->announced_by);
-
-	f->announced_by = 0;
-	if (vm)
-		return vm;
-	return part == SYNC_CONFIG ? find_newer_config(e) : find_ready_peer(e);
-}
-
-static void read_store_instead(struct edge *e, enum sync_part part)
-{
-	struct sync_state *s = &e->sync;
-
-	if (part == SYNC_CONFIG) {
-		if (e->ev.now_ns >= s->config_retry_ns)
-			read_config(e, 0);
-		return;
-	}
-	s->fetches[part].failures = 0;
-	s->fetch_failed = true;
-	/* Ends the takeover delay. */
-	s->last_update_ns = 0;
-	if (!s->reading_servers)
-		schedule_poll(e, e->ev.now_ns);
-}
-
-static void begin_fetch(struct edge *e, enum sync_part part)
-{
-	const struct vm_row *from = find_source(e, part);
-	struct sync_fetch *f = &e->sync.fetches[part];
-
-	f->timer = HND_NONE;
-	if (!from) {
-		f->failures = 0;
-		if (part == SYNC_STATE)
-			read_store_instead(e, part);
-		return;
-	}
-	f->running = true;
-	f->started_ns = e->ev.now_ns;
-	e->sync.peers.fetch(e->sync.peers.ctx, part, from,
-			    part == SYNC_CONFIG ? FETCH_CONFIG_TIMEOUT_NS
-						: FETCH_TIMEOUT_NS);
-}
-
-static void on_config_fetch_timer(void *ctx, int64_t now_ns)
-{
-	begin_fetch(ctx, SYNC_CONFIG);
-}
-
-static void on_state_fetch_timer(void *ctx, int64_t now_ns)
-{
-	begin_fetch(ctx, SYNC_STATE);
-}
-
-static void schedule_fetch(struct edge *e, enum sync_part part, int64_t due_ns)
-{
-	if (is_fetching(e, part))
-		return;
-	e->sync.fetches[part].timer = tmr_subscribe(
-		&e->ev.timers,
-		&(struct tmr_opts){
-			.due_ns = due_ns,
-			.fire = part == SYNC_CONFIG ? on_config_fetch_timer
-						    : on_state_fetch_timer,
-			.ctx = e,
-		});
-}
-
-/* After a random delay, as other VMs fetch the same. */
-static void schedule_fetch_soon(struct edge *e, enum sync_part part,
-				uint64_t announced_by)
-{
-	if (!is_fetching(e, part))
-		e->sync.fetches[part].announced_by = announced_by;
-	schedule_fetch(
-		e, part,
-		e->ev.now_ns + (int64_t)(edge_random(e) % FETCH_JITTER_NS));
-}
-
-static void schedule_fetch_retry(struct edge *e, enum sync_part part)
-{
-	uint32_t i, failures = e->sync.fetches[part].failures;
-	int64_t delay = FETCH_RETRY_MIN_NS;
-
-	for (i = 1; i < failures && i <= FETCH_RETRY_DOUBLINGS; i++)
-		delay *= 2;
-	schedule_fetch(e, part,
-		       e->ev.now_ns + delay / 2 +
-			       (int64_t)(edge_random(e) % (uint64_t)delay));
-}
-
-static void on_fetched(struct edge *e, enum sync_part part)
-{
-	struct sync_state *s = &e->sync;
-
-	s->fetches[part].failures = 0;
-	/* A peer has announced it; the readers of this region do so as well,
-	 * for it may be one of another region. */
-	if (is_config_reader(e))
-		announce_config(e);
-	else if (e->conf)
-		s->announced_config_version = e->conf->version;
-	if (part == SYNC_STATE) {
-		s->last_update_ns = e->ev.now_ns;
-		schedule_poll(
-			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
-	}
-	if (find_newer_config(e))
-		schedule_fetch_soon(e, SYNC_CONFIG, 0);
-}
-
-void sync_fetch_done(struct edge *e, enum sync_part part,
-		     enum sync_fetch_result result)
-{
-	struct sync_fetch *f = &e->sync.fetches[part];
-	uint32_t max = part == SYNC_CONFIG ? MAX_CONFIG_FETCH_FAILURES
-					   : MAX_FETCH_FAILURES;
-	/* Changes of servers must be known soon. */
-	bool urgent = part == SYNC_STATE && edge_has_state(e) &&
-		      result == SYNC_FETCH_FAILED;
-
-	f->running = false;
-	if (result == SYNC_FETCHED) {
-		on_fetched(e, part);
-		return;
-	}
-	f->failures += result == SYNC_FETCH_FAILED ? 2 : 1;
-	if (f->failures >= max || urgent)
-		read_store_instead(e, part);
-	if (f->failures)
-		schedule_fetch_retry(e, part);
-}
-
-void sync_on_peer_config(struct edge *e, struct vm_row *from, uint64_t version)
-{
-	from->config_version = version;
-	/* The state that a VM lacks holds the configuration. */
-	if (edge_has_state(e) && has_newer_config(e, from))
-		schedule_fetch_soon(e, SYNC_CONFIG, from->key);
-}
-
-bool sync_may_serve(const struct edge *e)
-{
-	return edge_has_state(e) &&
-	       e->sync.serve_done_ns < e->ev.now_ns + MAX_SERVE_BACKLOG_NS;
-}
-
-void sync_on_served(struct edge *e, size_t bytes)
-{
-	struct sync_state *s = &e->sync;
-	int64_t mbps = (int64_t)e->settings.link_mbps;
-
-	if (s->serve_done_ns < e->ev.now_ns)
-		s->serve_done_ns = e->ev.now_ns;
-	s->serve_done_ns += (int64_t)bytes * 8000 / (mbps > 0 ? mbps : 1);
-}
-
 /* Tells a VM that the store was available while it could not read it, by a
  * notice without changes. Only the VMs that read in its place do so. */
 static void correct_reader(struct edge *e, const struct vm_row *to)
@@ -716,7 +484,7 @@
 	s->notice_rank = sync_rank_of(e, from);
 	sync_on_peer_config(e, from, n->config_version);
 	if (!edge_has_state(e) || n->from_version > s->servers_version) {
-		schedule_fetch_soon(e, SYNC_STATE, from->key);
+		sync_schedule_fetch_soon(e, SYNC_STATE, from->key);
 		return;
 	}
 	if (n->to_version < s->servers_version)
@@ -729,9 +497,10 @@
 	}
 	s->last_update_ns = e->ev.now_ns;
 	keep_long_poll(e);
-	if (!s->reading_servers && !is_fetching(e, SYNC_STATE) && sync_rank(e))
-		schedule_poll(
-			e, e->ev.now_ns + takeover_delay_ns(e, sync_rank(e)));
+	if (!s->reading_servers && !sync_is_fetching(e, SYNC_STATE) &&
+	    sync_rank(e))
+		sync_schedule_poll(e, e->ev.now_ns + sync_takeover_delay_ns(
+							     e, sync_rank(e)));
 }
 
 void sync_start(struct edge *e, const struct sync_store_ops *store)
@@ -742,5 +511,5 @@
 	s->servers_backoff_ns = RETRY_DELAY_MIN_NS;
 	s->config_backoff_ns = RETRY_DELAY_MIN_NS;
 	s->last_update_ns = e->ev.now_ns;
-	schedule_poll(e, e->ev.now_ns + DISCOVERY_DELAY_NS);
+	sync_schedule_poll(e, e->ev.now_ns + DISCOVERY_DELAY_NS);
 }
