Edge: a notice of a new configuration does not change who reads

Each turn may cost a call of the store.

The sender of a notice counts only if the one before it has been silent for 1 s, the time after which the next one takes over. test_second_reader: a VM of rank 2 among notices of the first two; its case "the first one, and the second one of a configuration" fails on the code before.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -149,8 +149,10 @@
 	bool reading_config;
 	/* This VM long-polls for changes of the configuration. */
 	bool config_reader;
-	/* Rank of the VM that sent the last notice, this one included. */
+	/* Rank of the VM that reads the servers and sends notices of them, this
+	 * one included; time of its last notice. */
 	uint32_t notice_rank;
+	int64_t notice_rank_ns;
 	bool reading_servers;
 	/* The current or last read of the servers asked for the changes after
 	 * this version; 0 for a read of all rows. */
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -68,6 +68,19 @@
 				  wait_ns);
 }
 
+/* The second reader sends notices too, of new configurations; only when the
+ * first one is silent do they show that it has taken over. */
+static void record_notice_rank(struct edge *e, uint32_t rank)
+{
+	struct sync_state *s = &e->sync;
+
+	if (rank > s->notice_rank &&
+	    e->ev.now_ns - s->notice_rank_ns < RANK_1_TAKEOVER_NS)
+		return;
+	s->notice_rank = rank;
+	s->notice_rank_ns = e->ev.now_ns;
+}
+
 bool sync_is_config_reader(const struct edge *e)
 {
 	uint32_t rank = sync_rank(e);
@@ -361,7 +374,7 @@
 		s->servers_version = version;
 	e->servers_known = true;
 	s->last_update_ns = e->ev.now_ns;
-	s->notice_rank = sync_rank(e);
+	record_notice_rank(e, sync_rank(e));
 	send_notices(e);
 	keep_long_poll(e);
 	sync_schedule_poll(
@@ -481,7 +494,7 @@
 
 	if (!avail_on_report(&e->store, e->ev.now_ns, &n->store))
 		correct_reader(e, from);
-	s->notice_rank = sync_rank_of(e, from);
+	record_notice_rank(e, sync_rank_of(e, from));
 	sync_on_peer_config(e, from, n->config_version);
 	if (!edge_has_state(e) || n->from_version > s->servers_version) {
 		sync_schedule_fetch_soon(e, SYNC_STATE, from->key);
--- a/src/edge/store_sync_internal.h
+++ b/src/edge/store_sync_internal.h
@@ -17,7 +17,7 @@
 void sync_read_config(struct edge *e, int64_t wait_ns);
 /*
  * True for a VM that long-polls for changes of the configuration: the VMs of
- * the first ranks. Those before the sender of the last notice do not count, as
+ * the first ranks. Those before the VM that sends the notices do not count, as
  * it has taken over from them; their rows may take seconds to expire.
  */
 bool sync_is_config_reader(const struct edge *e);
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -409,6 +409,63 @@
 	return !hnd_eq(e.sync.fetches[part].timer, HND_NONE);
 }
 
+/* Guards against a region with one reader of the configuration where there
+ * should be two, and against VMs that take turns as readers. */
+static void test_second_reader(void **state)
+{
+	/* This VM is of rank 2. In each step of 200 ms a VM sends a notice: its
+	 * rank, or - for none. */
+	static const struct {
+		const char *name;
+		const char *notices;
+		bool reader;
+		int max_changes;
+	} cases[] = {
+		{"the first reader", "0--0--0--0--0--", false, 0},
+		{"the first one, and the second one of a configuration",
+		 "0-10--01-0--0-1", false, 0},
+		{"the second one has taken over", "0-----1-----1-", true, 1},
+		{"the first one is back", "0-----1-----0--0--0", false, 2},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct sync_notice n = {.config_version = 1};
+		bool reader = false;
+		int k, changes = 0;
+		const char *p;
+
+		fix_init(&e);
+		for (k = 0; k < 2; k++) {
+			char id[16];
+			struct vm_record r;
+
+			snprintf(id, sizeof(id), "vm%d", k + 1);
+			r = fix_record(id, "z0", "r0");
+			r.link_mbps = (uint32_t)(1000 - k);
+			vm_merge(&e, &r);
+		}
+		edge_set_conf(&e, new_conf(1));
+		e.servers_known = true;
+		start_sync();
+		for (p = cases[i].notices; *p; p++) {
+			vm_record_alive(&e, edge_key(STR("vm1")), 0);
+			vm_record_alive(&e, edge_key(STR("vm2")), 0);
+			if (*p != '-')
+				sync_on_notice(&e, tab_at(&e.vms, *p - '0' + 1),
+					       &n);
+			run_for(200 * NS_PER_MS);
+			changes += e.sync.config_reader != reader;
+			reader = e.sync.config_reader;
+		}
+		if (reader != cases[i].reader || changes > cases[i].max_changes)
+			fail_msg("%s: reader %d, %d changes", cases[i].name,
+				 reader, changes);
+		fix_free(&e);
+	}
+}
+
 /* Guards against changes that are lost between notices, and against old notices
  * that overwrite newer state. */
 static void test_notices(void **state)
@@ -711,6 +768,7 @@
 		cmocka_unit_test(test_config_long_poll),
 		cmocka_unit_test(test_config_repeated),
 		cmocka_unit_test(test_config_after_outage),
+		cmocka_unit_test(test_second_reader),
 		cmocka_unit_test(test_notices),
 		cmocka_unit_test(test_large_notice),
 		cmocka_unit_test(test_state),
