--- a/tests/edge_region_sim.h
+++ b/tests/edge_region_sim.h
@@ -821,7 +821,7 @@
 	sim.vms = calloc((size_t)c->vms, sizeof(*sim.vms));
 	for (i = 0; i < c->servers; i++) {
 		snprintf(sim.servers[i].id, sizeof(sim.servers[i].id), "i-%08x",
-			 i * 2654435);
+			 (unsigned)i * 2654435U);
 		sim.servers[i].version = ++sim.store_version;
 	}
 	sim.config_version = 1;
