Edge: notices of a VM that cannot read the servers do not postpone a takeover

Cause: every notice postponed the takeover of the other VMs. The store refused the reader of rank 0, the read of rank 1 hung for 1.5 s, and rank 1 meanwhile announced a new configuration three times, so no other VM read the servers for 2.5 s. The region then took that time for an outage of the store, and kept the removed server for 2.2 s more.

Fix: a notice says when its sender last knew of a read; the takeover counts from then. Nothing is postponed by what tells of no read.

--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -490,6 +490,7 @@
 		    const struct sync_notice *n)
 {
 	struct sync_state *s = &e->sync;
+	int64_t read_ns;
 	uint32_t i;
 
 	if (!avail_on_report(&e->store, e->ev.now_ns, &n->store))
@@ -508,12 +509,17 @@
 		s->servers_version = n->to_version;
 		reset_changes(s, n->to_version);
 	}
-	s->last_update_ns = e->ev.now_ns;
+	/* A VM that cannot read the servers may send notices, too: they
+	 * postpone the takeover only by the reads that they tell of. */
+	read_ns = e->ev.now_ns - n->store.served_age_ns;
+	if (read_ns > s->last_update_ns)
+		s->last_update_ns = read_ns;
 	keep_long_poll(e);
 	if (!s->reading_servers && !sync_is_fetching(e, SYNC_STATE) &&
 	    sync_rank(e))
-		sync_schedule_poll(e, e->ev.now_ns + sync_takeover_delay_ns(
-							     e, sync_rank(e)));
+		sync_schedule_poll(
+			e, s->last_update_ns +
+				   sync_takeover_delay_ns(e, sync_rank(e)));
 }
 
 void sync_start(struct edge *e, const struct sync_store_ops *store)
