Bodies: a decoder no longer writes into another connection's decoder

Callers saw uploads cut short, mixed with other bytes or refused; servers ran requests with bodies that nobody had sent, and VMs ended with SIGABRT.

Cause: hbod_init() stored the decoder's address in its parser. The decoder is part of a row of caller_conns, backend_conns or calls, and rows move: tab_del() copies the last row into the gap, tab_add() may move all of them. The parser's callbacks then set the state and the remaining length of the connection that has the place now, or wrote to freed memory. A body whose state was set to done too early goes to its server with the length that it had by then, and what follows is read as the next request.

Evidence: test_edge_moved_rows on, plain build: "message c of 50000 bytes differs, 24955 bytes" in each case where a new connection takes the former place of a chunked request, the chunked request itself is lost, and the program ends with SIGABRT. With AddressSanitizer, requests and responses fail from the first case on in which an earlier connection ends.

The parser now gets the address for the duration of one call, so a decoder holds no pointer between calls and its row may move at any time. The same decoder reads responses of servers, of the store and of VMs.

After: test_edge_moved_rows passes with AddressSanitizer and without.

--- a/src/http_body.c
+++ b/src/http_body.c
@@ -31,9 +31,13 @@
 	.on_message_complete = on_complete,
 };
 
+/* The decoder may have moved since the last call: the parser refers to it only
+ * while it runs. */
 static void feed_parser(struct hbod *b, struct str in)
 {
+	b->parser.data = b;
 	http_parser_execute(&b->parser, &parser_settings, in.ptr, in.len);
+	b->parser.data = NULL;
 	if (HTTP_PARSER_ERRNO(&b->parser) != HPE_OK)
 		b->state = HBOD_MALFORMED;
 }
@@ -42,7 +46,6 @@
 static void start_parser(struct hbod *b)
 {
 	http_parser_init(&b->parser, HTTP_REQUEST);
-	b->parser.data = b;
 	feed_parser(
 		b,
 		STR("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"));
--- a/src/http_body.h
+++ b/src/http_body.h
@@ -8,7 +8,8 @@
 /*
  * Incremental decoder of HTTP/1.1 message bodies, framed by a length or
  * chunked. Chunk extensions and trailers are discarded. The decoder does no
- * I/O: the bytes are passed to hbod_decode().
+ * I/O: the bytes are passed to hbod_decode(). Between calls a decoder holds no
+ * pointers, so that it may be part of a table's row.
  */
 enum hbod_state {
 	HBOD_DATA,
