Logs: lines of a request say how much of its body the VM has received

A changed body at a server could not be told from one that the caller sent: the lines named neither its length nor whether the VM took it for whole.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -329,6 +329,8 @@
 	int64_t objective_ns;
 	/* Content-Length. */
 	uint64_t length;
+	/* Bytes of the body that were received. */
+	uint64_t body_bytes;
 	struct strbuf id;
 	struct strbuf head;
 	/* Host and path of an unrouted request, separated by a space. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -60,8 +60,10 @@
 							       r->kind)
 						     : "")),
 			LOGS_INT("trial", r->trial),
+			LOGS_INT("body_bytes", (int64_t)r->body_bytes),
+			LOGS_INT("body_done", r->body_done),
 		},
-		9);
+		11);
 }
 
 void req_finish(struct edge *e, struct req_row *r)
@@ -513,6 +515,7 @@
 	if (!r)
 		return true;
 	r->body_done |= done;
+	r->body_bytes += data.len;
 	if (!r->streaming) {
 		strbuf_add(&r->body, data);
 		if (r->state == REQ_RECEIVING && is_body_buffered(r))
