Tables: sanitizer builds report pointers that outlive a change of their table

The decoder that kept its own address in a row passed all tests with AddressSanitizer: tab_add() moves rows only when the table grows, tab_del() only the last row, and a stale pointer then refers to memory that is still in use.

With TAB_MOVE_ROWS, which "make sanitize" and "make fuzz" set, both functions move all rows to new memory and free the old one, so that each use of a row pointer from before the call is reported; and they abort if a row holds an address within its own table.

Found: test_path of test_backend_progress kept a server's row across the addition of another one (heap-use-after-free in hlth_record()). The test now gets the row after that; it checks the same.

Evidence: test_table_moves checks in each build that rows move and that a row which points to itself, a part of itself or a neighbour aborts, and with AddressSanitizer that the use of a kept pointer is reported.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,10 @@
 	$(PKG_CFLAGS) -pthread
 LDLIBS = $(PKG_LIBS) -lcivetweb -lhttp_parser -largtable2 -lm -pthread
 
+# Makes AddressSanitizer report row pointers that are kept across changes of
+# their table (src/entity_table.h).
+MOVE_ROWS = -DTAB_MOVE_ROWS
+
 LIB_SRC := $(filter-out src/main.c,$(wildcard src/*.c src/edge/*.c \
 	platform/*.c))
 LIB_OBJ := $(addprefix $(BUILD)/obj/,$(notdir $(LIB_SRC:.c=.o)))
@@ -71,6 +75,10 @@
 	$(BUILD)/tests/bench_frontend: tests/entry_fixture.c \
 	$(BUILD)/currantpaddle
 
+# Tests the table of the sanitizer builds, in each build.
+$(BUILD)/tests/test_table_moves: src/entity_table.c
+$(BUILD)/tests/test_table_moves: private OPT += $(MOVE_ROWS)
+
 $(BUILD)/tests/%: tests/%.c $(LIB) | $(BUILD)/tests
 	$(say) CC $@
 	$(Q)$(CC) $(CFLAGS) -Itests -MMD -MP -MF $(BUILD)/obj/test_$*.d \
@@ -118,7 +126,7 @@
 # tests/corpus/NAME. "fuzz" is bounded and reproducible, with a fixed seed;
 # "fuzz-long" runs each target for a fixed time.
 FUZZ_SAN = -fsanitize=address,undefined -fno-sanitize-recover=undefined
-FUZZ_MAKE = $(MAKE) BUILD=build/fuzz CC=clang OPT="-O1 -g" \
+FUZZ_MAKE = $(MAKE) BUILD=build/fuzz CC=clang OPT="-O1 -g $(MOVE_ROWS)" \
 	SAN="-fsanitize=fuzzer-no-link $(FUZZ_SAN)"
 FUZZERS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/fuzz_*.c))
 
@@ -157,7 +165,7 @@
 tests: $(TESTS)
 
 sanitize:
-	+$(MAKE) BUILD=build/sanitize OPT="-O1 -g" \
+	+$(MAKE) BUILD=build/sanitize OPT="-O1 -g $(MOVE_ROWS)" \
 		SAN="-fsanitize=address,undefined" all tests
 	$(SANITIZE_ENV) sh scripts/run_tests.sh \
 		$(filter-out %/test_callers,$(TESTS:$(BUILD)/%=build/sanitize/%)) \
--- a/src/entity_table.c
+++ b/src/entity_table.c
@@ -1,5 +1,6 @@
 #include "entity_table.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,6 +24,51 @@
 	t->slots = grow_array(t->slots, t->cap, sizeof(*t->slots));
 }
 
+#ifdef TAB_MOVE_ROWS
+/* Tables with more rows move their rows less often, so that the work per call
+ * is bounded. */
+#define ALWAYS_MOVED_ROWS 64
+
+static void forbid_pointers_into(const struct tab *t, size_t bytes)
+{
+	uintptr_t begin = (uintptr_t)t->rows;
+	uintptr_t end = begin + (size_t)t->cap * t->row_size;
+	size_t at;
+	uintptr_t word;
+
+	for (at = 0; at + sizeof(word) <= bytes; at += sizeof(word)) {
+		memcpy(&word, t->rows + at, sizeof(word));
+		if (word < begin || word >= end)
+			continue;
+		fprintf(stderr,
+			"a row of %zu bytes points into its table, at byte "
+			"%zu\n",
+			t->row_size, at % t->row_size);
+		abort();
+	}
+}
+
+/* Makes each later use of a row pointer an access to freed memory. */
+static void move_rows(struct tab *t)
+{
+	size_t bytes = (size_t)t->len * t->row_size;
+	char *rows;
+
+	if (!t->len || t->len % (1 + t->len / ALWAYS_MOVED_ROWS))
+		return;
+	forbid_pointers_into(t, bytes);
+	rows = grow_array(NULL, t->cap, t->row_size);
+	memcpy(rows, t->rows, bytes);
+	free(t->rows);
+	t->rows = rows;
+}
+#else
+static void move_rows(struct tab *t)
+{
+	(void)t;
+}
+#endif
+
 void tab_init(struct tab *t, size_t row_size)
 {
 	memset(t, 0, sizeof(*t));
@@ -57,6 +103,7 @@
 	struct hnd h;
 	char *p;
 
+	move_rows(t);
 	if (t->len == t->cap)
 		grow(t);
 	h.slot = alloc_slot(t);
@@ -91,6 +138,7 @@
 		t->slots[t->row_slot[row]].row = row;
 	}
 	t->len--;
+	move_rows(t);
 	/* Generation 0 is reserved for HND_NONE, so the counter skips it. */
 	t->slots[h.slot].gen++;
 	if (!t->slots[h.slot].gen)
--- a/src/entity_table.h
+++ b/src/entity_table.h
@@ -11,7 +11,11 @@
  * reuses its slot.
  *
  * Invariants: rows[0..len) are live, and slots[row_slot[i]].row == i for each
- * of them. Row pointers are valid until the next tab_add() or tab_del().
+ * of them. Row pointers are valid until the next tab_add() or tab_del(), so a
+ * row holds no address within the rows of its table, nor does anything else
+ * between calls. With TAB_MOVE_ROWS, as in "make sanitize" and "make fuzz",
+ * both functions move all rows to new memory and abort if a row holds such an
+ * address.
  */
 struct hnd {
 	uint32_t slot;
--- a/tests/test_backend_progress.c
+++ b/tests/test_backend_progress.c
@@ -304,8 +304,9 @@
 		int k;
 
 		fix_init(&e);
-		s = fix_server(&e, "i-0", "z0");
+		fix_server(&e, "i-0", "z0");
 		fix_server(&e, "i-1", "z2");
+		s = tab_at(&e.servers, 0);
 		for (k = 0; k < cases[i].own; k++)
 			hlth_record(&e, s, HLTH_UNREACHED);
 		for (k = 0; k < cases[i].peers; k++)
