Bundles: a submission's row no longer points to itself

Nobody saw this: the pointer was set anew before each use.

Cause: send_call() stored a view of the row's operator_name in the row's struct brow. When another submission through the same VM ended, the row moved and the view referred to the former place.

Evidence: test_race, with both operators at one VM, on the code before, built with TAB_MOVE_ROWS: "a row of 208 bytes points into its table, at byte 56", SIGABRT. The plain build passed.

The view is now part of a copy that lives as long as the call, so that no row holds it. After: test_rollout passes in the plain build and with AddressSanitizer and TAB_MOVE_ROWS.

--- a/src/bundle_submit.c
+++ b/src/bundle_submit.c
@@ -24,6 +24,7 @@
 
 struct sbmt_row {
 	enum step step;
+	/* Without the name of the operator, which is in this row. */
 	struct brow bundle;
 	char operator_name[OPERATOR_NAME_SIZE];
 	struct strbuf text;
@@ -66,6 +67,7 @@
 {
 	struct sbmt *s = rol_sbmt(c);
 	struct strbuf key, value;
+	struct brow row = submission->bundle;
 	struct core_plat_call call = {
 		.op = CORE_PLAT_GET,
 		.key = BROW_KEY,
@@ -89,9 +91,8 @@
 	if (step == STEP_PUT_OBJECT) {
 		call.value = strbuf_view(&submission->text);
 	} else if (step == STEP_WRITE_ROW) {
-		submission->bundle.operator_name =
-			str_from(submission->operator_name);
-		brow_format(&submission->bundle, &value);
+		row.operator_name = str_from(submission->operator_name);
+		brow_format(&row, &value);
 		call.op = CORE_PLAT_CAS;
 		call.value = strbuf_view(&value);
 	}
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -205,14 +205,19 @@
 		int64_t first, second;
 		enum rol_submit_result first_result, second_result;
 		int64_t active;
+		/* The VMs that the operators use. */
+		uint32_t first_vm, second_vm;
 	} cases[] = {
-		{2, 2, ROL_ACCEPTED, ROL_CONFLICT, 2},
-		{3, 2, ROL_ACCEPTED, ROL_CONFLICT, 3},
+		{2, 2, ROL_ACCEPTED, ROL_CONFLICT, 2, 1, 4},
+		{3, 2, ROL_ACCEPTED, ROL_CONFLICT, 3, 1, 4},
 		/*
 		 * Version 3 was made without knowledge of 2, so it must not
 		 * replace it.
 		 */
-		{2, 3, ROL_ACCEPTED, ROL_CONFLICT, 2},
+		{2, 3, ROL_ACCEPTED, ROL_CONFLICT, 2, 1, 4},
+		{2, 2, ROL_ACCEPTED, ROL_CONFLICT, 2, 1, 1},
+		{3, 2, ROL_ACCEPTED, ROL_CONFLICT, 3, 1, 1},
+		{2, 3, ROL_ACCEPTED, ROL_CONFLICT, 2, 1, 1},
 	};
 	size_t i;
 
@@ -224,8 +229,8 @@
 		sim_init(&sim, 6, 3);
 		put_row(1, 'x', "old");
 		sim_run(&sim, 10 * NS_PER_S);
-		submit(1, cases[i].first, 'a', "anna", &a);
-		submit(4, cases[i].second, 'b', "bert", &b);
+		submit(cases[i].first_vm, cases[i].first, 'a', "anna", &a);
+		submit(cases[i].second_vm, cases[i].second, 'b', "bert", &b);
 		sim_run(&sim, ROLLOUT_LIMIT_NS);
 		assert_int_equal(a.result, cases[i].first_result);
 		assert_int_equal(b.result, cases[i].second_result);
