Members: a gossip message whose sender is evicted no longer ends the VM

An entry VM ended with SIGSEGV, and with it the requests that it held.

Cause: a message may add its sender and, with a later record, evict it again: the cell's table is full (192 members) and the sender counts as silent, because the message waited in a socket while this VM was paused. mbr_on_gossip() then passed NULL to goss_send_to_new_member(), since it took for granted that a row which it had added is still there.

Evidence: test_evicted_sender on the code before, plain build: "Test failed with exception: Segmentation fault(11)"; it calls mbr_on_gossip() with records that have the age which such a pause gives them.

The message is sent only if the row exists after all records were applied, the check that the records of allocators had already. After: test_membership passes in the plain build and with AddressSanitizer and TAB_MOVE_ROWS.

--- a/src/membership.c
+++ b/src/membership.c
@@ -375,10 +375,10 @@
 		alc_on_gossip(c, from, &g->allocators[i]);
 	/*
 	 * A new VM gets many records at once instead of waiting to be chosen at
-	 * random.
+	 * random. A later record of the message may have evicted it.
 	 */
-	if (is_new_sender)
-		goss_send_to_new_member(c, core_member(c, m->from));
+	if (is_new_sender && from)
+		goss_send_to_new_member(c, from);
 }
 
 static void update_self(struct core *c)
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -373,6 +373,58 @@
 	sim_free(&sim);
 }
 
+/*
+ * Guards against a VM that ends when a record evicts the new sender of the
+ * message that holds it: the table of the cell is full, and the sender counts
+ * as silent, since the message waited while this VM was paused.
+ */
+static void test_evicted_sender(void **state)
+{
+	static const struct {
+		const char *name;
+		int64_t sender_age_ns;
+		uint32_t others;
+		bool known;
+	} cases[] = {
+		{"room for both", 60 * NS_PER_S, MBR_CELL_MAX - 3, true},
+		{"sender is alive", 0, MBR_CELL_MAX - 2, true},
+		{"sender is silent", 60 * NS_PER_S, MBR_CELL_MAX - 2, false},
+	};
+	static struct msg m;
+	struct msg_member *records = m.u.gossip.members;
+	struct core *c;
+	char id[16];
+	size_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		sim_init(&sim, 1, 1);
+		c = &sim.vms[0]->core;
+		m.kind = MSG_GOSSIP;
+		m.from = STR("relay");
+		records[0] = (struct msg_member){.incarnation = 1,
+						 .region = STR("r1"),
+						 .cell = STR("r1")};
+		records[1] = records[0];
+		m.u.gossip.member_count = 1;
+		for (k = 0; k < cases[i].others; k++) {
+			snprintf(id, sizeof(id), "other%u", k);
+			records[0].id = str_from(id);
+			mbr_on_gossip(c, &m);
+		}
+		m.from = STR("x");
+		m.u.gossip.member_count = 2;
+		records[0].id = STR("x");
+		records[0].age_ns = cases[i].sender_age_ns;
+		records[1].id = STR("y");
+		mbr_on_gossip(c, &m);
+		if (!core_member(c, STR("x")) == cases[i].known)
+			fail_msg("%s", cases[i].name);
+		sim_free(&sim);
+	}
+}
+
 /* Runs until VM 0 has read one more list, in which VM 1 is missing. */
 static void omit_from_next_list(struct core *c)
 {
@@ -500,6 +552,7 @@
 		cmocka_unit_test(test_registration),
 		cmocka_unit_test(test_leaving_not_reverted),
 		cmocka_unit_test(test_records),
+		cmocka_unit_test(test_evicted_sender),
 		cmocka_unit_test(test_missing_from_list),
 		cmocka_unit_test(test_removal),
 		cmocka_unit_test(test_scale),
