Callers: a refused body gets no second response

A caller whose request had been answered before its body was found malformed or too large got a further 400 or 413: an answer with no request waiting. It came after an early response, a 404, or the 503 or 504 of a time limit. While a long response was being relayed, the 400 went into its body: in the test it supplies the missing last byte of a response of 100000 bytes, which so looks complete. Otherwise the connection was closed with unread input, which resets it, and the caller could lose its 413.

Cause: reject_and_close() always responded.

A request now has one response. One that is complete stays the last, and one that has begun is cut off with a reset.

Evidence: test_edge_framing, cases of a refused body, each in five splits.

--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -90,8 +90,12 @@
 	/* Closing with unread input resets the connection, and the caller may
 	 * lose the response. */
 	if (!c->out.len && c->closing && c->response_done &&
-	    c->state != CCONN_READING_BODY)
-		close_connection(e, c, "response sent");
+	    c->state != CCONN_READING_BODY) {
+		if (c->discarding)
+			shutdown(c->fd, SHUT_WR);
+		else
+			close_connection(e, c, "response sent");
+	}
 	set_events(e, c, h);
 }
 
@@ -181,6 +185,7 @@
 
 	if (!c)
 		return;
+	c->response_begun = true;
 	strbuf_addf(&c->out, "HTTP/1.1 %d %.*s\r\n", status, STR_FMT(phrase));
 	strbuf_add(&c->out, fields);
 	add_connection_field(e, c);
@@ -264,11 +269,23 @@
 	}
 }
 
-/* Rejects a request and closes the connection, as what follows the request
- * cannot be parsed. */
+/* Ends a connection on which what follows cannot be parsed. */
+static void discard_input(struct edge *e, struct cconn_row *c)
+{
+	c->closing = true;
+	c->discarding = true;
+	c->body_paused = false;
+	c->state_since_ns = e->ev.now_ns;
+	consume(&c->in, c->in.len);
+}
+
+/* Rejects a request and ends its connection. A request has one response: one
+ * that is complete stays the last, and one that has begun is cut off. */
 static void reject_and_close(struct edge *e, struct cconn_row *c, struct hnd h,
 			     int status, const char *reason)
 {
+	bool responded = c->state == CCONN_READING_BODY && c->response_done;
+
 	ctr_add(CTR_BAD_REQUESTS, 1);
 	logs_event(LOGS_INFO, "refuse",
 		   (struct logs_field[]){
@@ -277,9 +294,16 @@
 			   LOGS_INT("bytes", c->in.len),
 		   },
 		   3);
-	c->closing = true;
-	c->state = CCONN_RESPONDING;
-	cconn_respond(e, h, status, reason, 0);
+	if (c->response_begun && !c->response_done) {
+		cconn_reset(e, h);
+		return;
+	}
+	discard_input(e, c);
+	c->state = responded ? CCONN_READING_HEAD : CCONN_RESPONDING;
+	if (responded)
+		send_pending(e, c, h);
+	else
+		cconn_respond(e, h, status, reason, 0);
 }
 
 static void serve_locally(struct edge *e, struct cconn_row *c, struct hnd h,
@@ -334,6 +358,7 @@
 		strbuf_add(&c->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
 	c->keep_alive = head.keep_alive;
 	c->response_done = false;
+	c->response_begun = false;
 	c->body_bytes = 0;
 	c->state = CCONN_READING_BODY;
 	hbod_init(&c->body, &head);
@@ -403,6 +428,8 @@
 {
 	bool more = true;
 
+	if (c->discarding)
+		consume(&c->in, c->in.len);
 	while (more && !c->closed) {
 		if (c->state == CCONN_READING_HEAD)
 			more = !c->closing && c->in.len && parse_head(e, c, h);
@@ -446,7 +473,7 @@
 	size_t room = RECV_BYTES;
 	ssize_t n;
 
-	if (!c->in.len)
+	if (!c->in.len && !c->discarding)
 		c->state_since_ns = e->ev.now_ns;
 	strbuf_grow(&c->in, room);
 	n = recv(c->fd, c->in.ptr + c->in.len, room, MSG_DONTWAIT);
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -27,6 +27,10 @@
 	bool keep_alive;
 	/* The connection is closed after the current response. */
 	bool closing;
+	/* Input is discarded until the caller closes the connection. */
+	bool discarding;
+	/* The head of a backend server's response was passed on. */
+	bool response_begun;
 	/* The response is complete, though it may not be sent yet. */
 	bool response_done;
 	/* The response body is sent with chunked transfer coding. */
