Callers: a request keeps its id when Connection names it

A server got a request without its id, which no caller had sent, and the caller a 502: a field that the caller's Connection field names was removed, the id of the request among them. Only Host was kept.

Names to which the platform gives a meaning are now kept whatever Connection says; the deadline and the expected server are set by this VM as before.

Evidence: test_edge_framing, field cases.

--- a/src/edge/header_names.c
+++ b/src/edge/header_names.c
@@ -8,3 +8,18 @@
 	.response_signature = {NULL, 0},
 	.server_leaving = {"X-Server-Leaving", 16},
 };
+
+bool hdr_is_known(const struct hdr_names *names, struct str name)
+{
+	const struct str known[] = {
+		names->request_id,	   names->deadline_ms,
+		names->expect_server,	   names->not_run,
+		names->response_signature, names->server_leaving,
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(known) / sizeof(known[0]); i++)
+		if (known[i].len && str_eq_nocase(name, known[i]))
+			return true;
+	return false;
+}
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -29,6 +29,9 @@
 /* Names of currantpaddle's own protocol, for use without a platform. */
 extern const struct hdr_names hdr_default_names;
 
+/* True for a name to which the platform gives a meaning. */
+bool hdr_is_known(const struct hdr_names *names, struct str name);
+
 /* Listeners of an edge process. */
 enum edge_listener {
 	EDGE_LISTENER_CALLERS,
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -118,10 +118,13 @@
 static bool is_end_to_end(const struct edge *e, const struct hreq *head,
 			  struct str name)
 {
-	return !hreq_is_hop_by_hop(head, name) &&
-	       !str_eq_nocase(name, STR("expect")) &&
-	       !str_eq_nocase(name, e->headers->deadline_ms) &&
-	       !str_eq_nocase(name, e->headers->expect_server);
+	if (str_eq_nocase(name, e->headers->deadline_ms) ||
+	    str_eq_nocase(name, e->headers->expect_server))
+		return false;
+	/* A caller must not be able to remove a field by naming it in its
+	 * Connection field. */
+	return hdr_is_known(e->headers, name) ||
+	       !hreq_is_hop_by_hop(head, name);
 }
 
 /* Builds the forwarded head without the fields that frame the body or that
--- a/tests/test_edge_framing.c
+++ b/tests/test_edge_framing.c
@@ -103,6 +103,33 @@
 	 MAX_BODY_BYTES + 1, GET("b"), END_NONE, "", "413."},
 };
 
+#define LISTED(name) "Connection: " name "\r\n"
+
+/* What a server gets of the fields of a request. */
+static const struct framing_case field_cases[] = {
+	{"id listed in Connection", SERVE_WHOLE,
+	 POST("a", LISTED("X-Request-Id") LENGTH(1)) "x" GET("b"), 0, NULL,
+	 END_NONE, RAN_POST("a", "x") RAN_GET("b"), "200 200"},
+	{"id listed in other case, with others", SERVE_WHOLE,
+	 POST("a", LISTED("foo,x-request-id , keep-alive") LENGTH(1)) "x", 0,
+	 NULL, END_NONE, RAN_POST("a", "x"), "200"},
+	{"host listed", SERVE_WHOLE, POST("a", LISTED("Host") LENGTH(1)) "x", 0,
+	 NULL, END_NONE, RAN_POST("a", "x"), "200"},
+	{"field of one connection", SERVE_WHOLE,
+	 POST("a", LISTED("foo") "Foo: 1\r\nBar: 2\r\n" LENGTH(1)) "x", 0, NULL,
+	 END_NONE, "POST /x X-Request-Id=a Bar=2 [x];", "200"},
+	{"framing listed", SERVE_WHOLE,
+	 POST("a", LISTED("Content-Length, Transfer-Encoding")
+			   LENGTH(1)) "x" GET("b"),
+	 0, NULL, END_NONE, RAN_POST("a", "x") RAN_GET("b"), "200 200"},
+	{"white space around values", SERVE_WHOLE,
+	 "GET /n HTTP/1.1\r\nHost:h\r\nX-Request-Id: \t a \t\r\nFoo:\r\n\r\n",
+	 0, NULL, END_NONE, "GET /n X-Request-Id=a Foo= [];", "200"},
+	{"server chosen by the caller", SERVE_WHOLE,
+	 "GET /n HTTP/1.1\r\n" HOST "X-Expect-Server: i-9\r\n" ID("a") "\r\n",
+	 0, NULL, END_NONE, RAN_GET("a"), "200"},
+};
+
 static struct edge e;
 static struct sfix fix;
 static int server_fds[MAX_SERVER_CONNS];
@@ -491,10 +518,19 @@
 	run_cases(refused_body_cases, COUNT(refused_body_cases));
 }
 
+/* Guards against a caller that removes a field to which the platform gives a
+ * meaning, so that a server gets a request that no caller sent. */
+static void test_fields(void **state)
+{
+	(void)state;
+	run_cases(field_cases, COUNT(field_cases));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refused_body),
+		cmocka_unit_test(test_fields),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
