Tests: where a caller's request ends, judged by its server

test_edge_framing plays callers and the server over sockets. Cases: bodies that look like requests, pipelined requests behind refused, expired and early answered ones, bodies of 1 MiB and 1 MiB and 1 byte, bodies that are cut off, requests before the first configuration, expectations, contradictory framing, targets.

--- a/tests/test_edge_framing.c
+++ b/tests/test_edge_framing.c
@@ -66,6 +66,8 @@
 	const char *responses;
 	/* Time that passes before the second part. */
 	int pause_ms;
+	/* The VM knows its servers only from the second part on. */
+	bool starting;
 };
 
 /* The rules for a caller's input after an early response. */
@@ -130,6 +132,117 @@
 	 0, NULL, END_NONE, RAN_GET("a"), "200"},
 };
 
+#define LIKE_REQUEST "GET /s HTTP/1.1\r\nHost: h\r\n\r\n"
+
+/* Where a request ends, and what runs of one that does not arrive whole. */
+static const struct framing_case end_cases[] = {
+	{"pipelined behind a length", SERVE_WHOLE,
+	 POST("a", LENGTH(28)) LIKE_REQUEST GET("b"), 0, NULL, END_NONE,
+	 RAN_POST("a", LIKE_REQUEST) RAN_GET("b"), "200 200"},
+	{"pipelined behind chunks", SERVE_WHOLE,
+	 POST("a", CHUNKED) "1c;x=y\r\n" LIKE_REQUEST
+			    "\r\n0\r\nContent-Length: 9\r\n\r\n" GET("b"),
+	 0, NULL, END_NONE, RAN_POST("a", LIKE_REQUEST) RAN_GET("b"),
+	 "200 200"},
+	{"HEAD with a body", SERVE_NOTHING,
+	 "HEAD /n HTTP/1.1\r\n" HOST ID("a") LENGTH(28) "\r\n" LIKE_REQUEST, 0,
+	 NULL, END_NONE, "HEAD /n X-Request-Id=a [" LIKE_REQUEST "];", ""},
+	{"unrouted, body like a request", SERVE_WHOLE,
+	 NO_ROUTE LENGTH(28) "\r\n" LIKE_REQUEST GET("b"), 0, NULL, END_NONE,
+	 RAN_GET("b"), "404 200"},
+	{"early response, rest like a request", SERVE_HEAD,
+	 POST("a", LENGTH(1100028)), 1100000, LIKE_REQUEST GET("b"), END_NONE,
+	 RAN_GET("b"), "200 200"},
+	{"time limit, rest like a request", SERVE_WHOLE,
+	 POST("a", "X-Deadline-Ms: 250\r\n" LENGTH(29)) "x", 0,
+	 LIKE_REQUEST GET("b"), END_NONE, RAN_GET("b"), "503 200", 300},
+	{"time limit of a stream, rest like a request", SERVE_WHOLE,
+	 POST("a", "X-Deadline-Ms: 250\r\n" LENGTH(1100028)), 1100000,
+	 LIKE_REQUEST GET("b"), END_NONE, RAN_GET("b"), "504 200", 300},
+	{"1 MiB", SERVE_WHOLE, POST("a", LENGTH(1048576)), 1048576, GET("b"),
+	 END_NONE, RAN_POST("a", "*1048576") RAN_GET("b"), "200 200"},
+	{"1 MiB and 1 byte", SERVE_WHOLE, POST("a", LENGTH(1048577)), 1048577,
+	 GET("b"), END_NONE, RAN_POST("a", "*1048577") RAN_GET("b"), "200 200"},
+	{"1 MiB in a chunk", SERVE_WHOLE, POST("a", CHUNKED) "100000\r\n",
+	 1048576, "\r\n0\r\n\r\n" GET("b"), END_NONE,
+	 RAN_POST("a", "*1048576") RAN_GET("b"), "200 200"},
+	{"1 MiB and 1 byte in a chunk", SERVE_WHOLE,
+	 POST("a", CHUNKED) "100001\r\n", 1048577, "\r\n0\r\n\r\n" GET("b"),
+	 END_NONE, RAN_POST("a", "*1048577") RAN_GET("b"), "200 200"},
+	{"before the first configuration", SERVE_WHOLE,
+	 POST("a", LENGTH(28)) LIKE_REQUEST GET("b"), 0, "", END_NONE,
+	 RAN_POST("a", LIKE_REQUEST) RAN_GET("b"), "200 200", 0, true},
+	{"stream before the first configuration", SERVE_WHOLE,
+	 POST("a", LENGTH(1200000)), 1200000, GET("b"), END_NONE,
+	 RAN_POST("a", "*1200000") RAN_GET("b"), "200 200", 0, true},
+	{"streamed chunk before the first configuration", SERVE_WHOLE,
+	 POST("a", CHUNKED) "124f80\r\n", 1200000, "\r\n0\r\n\r\n" GET("b"),
+	 END_NONE, RAN_POST("a", "*1200000") RAN_GET("b"), "200 200", 0, true},
+	{"malformed before the first configuration", SERVE_WHOLE,
+	 POST("a", CHUNKED) "5\r\n", 5, "zz" GET("b"), END_NONE, "", "400.", 0,
+	 true},
+	{"length, cut by a half-close", SERVE_WHOLE, POST("a", LENGTH(6)), 5,
+	 NULL, END_HALF_CLOSE, "", NULL},
+	{"length, cut by a reset", SERVE_WHOLE, POST("a", LENGTH(6)), 5, NULL,
+	 END_RESET, "", NULL},
+	{"stream, cut by a close", SERVE_WHOLE, POST("a", LENGTH(1200001)),
+	 1200000, NULL, END_CLOSE, "", NULL},
+	{"stream, cut by a reset", SERVE_WHOLE, POST("a", LENGTH(1200001)),
+	 1200000, NULL, END_RESET, "", NULL},
+	{"chunks, cut by a half-close", SERVE_WHOLE, POST("a", CHUNKED) "5\r\n",
+	 5, "\r\n0\r\n\r", END_HALF_CLOSE, "", NULL},
+	{"streamed chunk, cut by a close", SERVE_WHOLE,
+	 POST("a", CHUNKED) "124f80\r\n", 1200000, "\r\n0\r\n", END_CLOSE, "",
+	 NULL},
+	{"streamed chunk, cut by a reset", SERVE_WHOLE,
+	 POST("a", CHUNKED) "124f80\r\n", 1200000, "\r\n0\r\n", END_RESET, "",
+	 NULL},
+	{"expectation", SERVE_WHOLE,
+	 POST("a", "Expect: 100-continue\r\n" LENGTH(5)), 0, "uuuuu" GET("b"),
+	 END_NONE, RAN_POST("a", "*5") RAN_GET("b"), "100 200 200"},
+	{"expectation, refused", SERVE_WHOLE,
+	 POST("a", "Expect: 100-continue\r\n" LENGTH(1572865)), 0, GET("b"),
+	 END_NONE, "", "413."},
+	{"HTTP/1.0", SERVE_WHOLE,
+	 "POST /x HTTP/1.0\r\n" HOST ID("a") LENGTH(1) "\r\nx" GET("b"), 0,
+	 NULL, END_NONE, RAN_POST("a", "x"), NULL},
+	{"two lengths", SERVE_WHOLE,
+	 POST("a", LENGTH(1) LENGTH(1)) "x" GET("b"), 0, NULL, END_NONE, "",
+	 "400."},
+	{"length and chunks", SERVE_WHOLE,
+	 POST("a", LENGTH(1) CHUNKED) "0\r\n\r\n" GET("b"), 0, NULL, END_NONE,
+	 "", "400."},
+	{"empty length", SERVE_WHOLE, POST("a", "Content-Length:\r\n") GET("b"),
+	 0, NULL, END_NONE, "", "400."},
+	{"empty length and another", SERVE_WHOLE,
+	 POST("a", "Content-Length:\r\n" LENGTH(1)) "x" GET("b"), 0, NULL,
+	 END_NONE, "", "400."},
+	{"empty coding", SERVE_WHOLE,
+	 POST("a", "Transfer-Encoding:\r\n" LENGTH(1)) "x", 0, NULL, END_NONE,
+	 "", "400."},
+	{"two codings", SERVE_WHOLE,
+	 POST("a", CHUNKED "Transfer-Encoding: identity\r\n") "0\r\n\r\n", 0,
+	 NULL, END_NONE, "", "400."},
+};
+
+/* Which request a server gets for a target, a host or an id that may be read in
+ * more than one way. */
+static const struct framing_case head_cases[] = {
+	{"absolute target", SERVE_WHOLE,
+	 "GET http://h/p/q?x=1&y HTTP/1.1\r\n" HOST ID("a") "\r\n", 0, NULL,
+	 END_NONE, "GET /p/q?x=1&y X-Request-Id=a [];", "200"},
+	{"absolute target, no path", SERVE_WHOLE,
+	 "GET http://h HTTP/1.1\r\n" HOST ID("a") "\r\n", 0, NULL, END_NONE,
+	 "GET / X-Request-Id=a [];", "200"},
+	{"absolute target, query only", SERVE_WHOLE,
+	 "GET http://h?x HTTP/1.1\r\n" HOST ID("a") "\r\n", 0, NULL, END_NONE,
+	 "", "400."},
+	{"encoded target", SERVE_WHOLE,
+	 "GET /p%2F%20q;r//?a=%00&b=? HTTP/1.1\r\n" HOST ID("a") "\r\n", 0,
+	 NULL, END_NONE, "GET /p%2F%20q;r//?a=%00&b=? X-Request-Id=a [];",
+	 "200"},
+};
+
 static struct edge e;
 static struct sfix fix;
 static int server_fds[MAX_SERVER_CONNS];
@@ -433,6 +546,7 @@
 		strbuf_remove(&part, split);
 	}
 	send_part(c, f->server, strbuf_view(&part));
+	e.servers_known = true;
 	if (f->pause_ms)
 		sfix_run(&fix, f->pause_ms);
 	if (f->then)
@@ -473,6 +587,7 @@
 	int i;
 
 	sfix_start(&fix, &e, CONF_UPLOAD);
+	e.servers_known = !f->starting;
 	e.conf->limits.max_body_bytes = MAX_BODY_BYTES;
 	server_count = 0;
 	strbuf_init(&runs);
@@ -526,11 +641,28 @@
 	run_cases(field_cases, COUNT(field_cases));
 }
 
+/* Guards against the end of a request that is taken wrongly: a server would run
+ * a part of a body as a request, or a body that is not whole. */
+static void test_ends(void **state)
+{
+	(void)state;
+	run_cases(end_cases, COUNT(end_cases));
+}
+
+/* Guards against a request that its server reads differently than this VM. */
+static void test_heads(void **state)
+{
+	(void)state;
+	run_cases(head_cases, COUNT(head_cases));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refused_body),
 		cmocka_unit_test(test_fields),
+		cmocka_unit_test(test_ends),
+		cmocka_unit_test(test_heads),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
