Callers: a server gets the host by which the request was routed

A server got a request with another host than the one that selected its route: for a target in absolute form the host of the target overrides the Host field, but the field was forwarded as it came.

The forwarded Host is now always the host of the route, as in the entry program.

Evidence: test_edge_framing, "absolute target, other Host". On the code before, in all five splits: server ran GET /p Host=other X-Request-Id=a []; expected GET /p X-Request-Id=a []; After: all cases pass.

--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -118,7 +118,8 @@
 static bool is_end_to_end(const struct edge *e, const struct hreq *head,
 			  struct str name)
 {
-	if (str_eq_nocase(name, e->headers->deadline_ms) ||
+	if (str_eq_nocase(name, STR("host")) ||
+	    str_eq_nocase(name, e->headers->deadline_ms) ||
 	    str_eq_nocase(name, e->headers->expect_server))
 		return false;
 	/* A caller must not be able to remove a field by naming it in its
@@ -134,8 +135,9 @@
 {
 	size_t i;
 
-	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\n", STR_FMT(head->method),
-		    STR_FMT(head->target));
+	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\nHost: %.*s\r\n",
+		    STR_FMT(head->method), STR_FMT(head->target),
+		    STR_FMT(head->host));
 	for (i = 0; i < head->field_count; i++) {
 		const struct hreq_field *f = &head->fields[i];
 
