Callers: a Host field with white space or a path is refused

A request with "Host: h /q" for /p ran on the route of host h and path "/q /p" if it arrived before the first configuration, so possibly at a service that no route allows for it; later it got a 404. Cause: a request that waits for the configuration keeps "HOST PATH" as one text, which is split at the first space.

Hosts are now checked when the head is parsed; white space, control characters, 8-bit bytes and / ? # @ \ get a 400.

Evidence: test_edge_framing, "space in the host". On the code before, in all five splits each: "caller got 404, expected 400." and, before the first configuration, "server ran GET /p Host=h /q X-Request-Id=a [];" After: all cases pass, test_http_request too.

--- a/src/http_request.c
+++ b/src/http_request.c
@@ -250,6 +250,21 @@
 	return r->length > INT64_MAX ? "bad Content-Length" : NULL;
 }
 
+/* Excludes white space, control characters, 8-bit bytes and the bytes at which
+ * a host ends in a URL. */
+static bool is_valid_host(struct str s)
+{
+	size_t i;
+
+	for (i = 0; i < s.len; i++) {
+		unsigned char c = (unsigned char)s.ptr[i];
+
+		if (c <= 0x20 || c >= 0x7f || strchr("/?#@\\", c))
+			return false;
+	}
+	return true;
+}
+
 static const char *set_host(struct hreq *r)
 {
 	size_t hosts = count_fields(r, STR("host"));
@@ -258,7 +273,7 @@
 		return "not exactly one Host";
 	if (!r->host.len)
 		r->host = hreq_header(r, STR("host"));
-	return NULL;
+	return is_valid_host(r->host) ? NULL : "bad Host";
 }
 
 static const char *set_connection(struct hreq *r, const http_parser *p)
--- a/tests/test_edge_framing.c
+++ b/tests/test_edge_framing.c
@@ -244,6 +244,12 @@
 	 "GET /p%2F%20q;r//?a=%00&b=? HTTP/1.1\r\n" HOST ID("a") "\r\n", 0,
 	 NULL, END_NONE, "GET /p%2F%20q;r//?a=%00&b=? X-Request-Id=a [];",
 	 "200"},
+	{"space in the host", SERVE_WHOLE,
+	 "GET /p HTTP/1.1\r\nHost: h /q\r\n" ID("a") "\r\n", 0, NULL, END_NONE,
+	 "", "400."},
+	{"space in the host, before the first configuration", SERVE_WHOLE,
+	 "GET /p HTTP/1.1\r\nHost: h /q\r\n" ID("a") "\r\n", 0, "", END_NONE,
+	 "", "400.", 0, true},
 };
 
 static struct edge e;
