Callers: a request with two ids is refused

A request with two id fields was forwarded with both, while this VM took the first for its own. A server that takes the last one, or joins them, runs a request under another id than this VM knows, and its response is then taken for that of another request.

Such a request now gets a 400 and is not sent. Two equal ids count as two.

Evidence: test_edge_framing, "two ids" and "two equal ids".

--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -122,8 +122,7 @@
 	    str_eq_nocase(name, e->headers->deadline_ms) ||
 	    str_eq_nocase(name, e->headers->expect_server))
 		return false;
-	/* A caller must not be able to remove a field by naming it in its
-	 * Connection field. */
+	/* A caller cannot remove it by naming it in Connection. */
 	return hdr_is_known(e->headers, name) ||
 	       !hreq_is_hop_by_hop(head, name);
 }
@@ -244,13 +243,14 @@
 	const struct conf_route *route;
 	enum chk_route found;
 	int64_t deadline_ns;
+	const char *fault;
 	struct req_row *r;
 	struct hnd h;
 
 	ctr_add(CTR_REQUESTS, 1);
-	if (!chk_deadline(hreq_header(head, e->headers->deadline_ms), start_ns,
-			  &deadline_ns))
-		return refuse_unrouted(e, caller, head, 400, "bad deadline");
+	fault = chk_fields(e->headers, head, start_ns, &deadline_ns);
+	if (fault)
+		return refuse_unrouted(e, caller, head, 400, fault);
 	if (!stop_accepts_requests(e))
 		return refuse_unrouted(e, caller, head, 503, "VM is stopping");
 	if (awaits_first_conf(e)) {
--- a/src/edge/request_check.c
+++ b/src/edge/request_check.c
@@ -81,3 +81,14 @@
 	*deadline_ns = start_ns + (int64_t)ms * NS_PER_MS;
 	return true;
 }
+
+const char *chk_fields(const struct hdr_names *names, const struct hreq *head,
+		       int64_t start_ns, int64_t *deadline_ns)
+{
+	struct str deadline = hreq_header(head, names->deadline_ms);
+
+	if (hreq_count(head, names->request_id) > 1)
+		return "two request ids";
+	return chk_deadline(deadline, start_ns, deadline_ns) ? NULL
+							     : "bad deadline";
+}
--- a/src/edge/request_check.h
+++ b/src/edge/request_check.h
@@ -3,6 +3,7 @@
 
 #include "edge_config.h"
 #include "counted_string.h"
+#include "header_names.h"
 
 /*
  * Checks of a caller's request before it is routed.
@@ -23,5 +24,11 @@
  * is not a number.
  */
 bool chk_deadline(struct str value, int64_t start_ns, int64_t *deadline_ns);
+/*
+ * Checks the platform's fields and reads the deadline; returns what is wrong,
+ * or NULL. Of two ids, a server might take the other one than this VM.
+ */
+const char *chk_fields(const struct hdr_names *names, const struct hreq *head,
+		       int64_t start_ns, int64_t *deadline_ns);
 
 #endif
--- a/src/http_request.c
+++ b/src/http_request.c
@@ -221,7 +221,7 @@
 	return NULL;
 }
 
-static size_t count_fields(const struct hreq *r, struct str name)
+size_t hreq_count(const struct hreq *r, struct str name)
 {
 	size_t i, count = 0;
 
@@ -241,7 +241,7 @@
 	r->chunked = coding.ptr;
 	if (r->chunked &&
 	    (!r->minor || !str_eq_nocase(coding, STR("chunked")) ||
-	     count_fields(r, STR("transfer-encoding")) > 1))
+	     hreq_count(r, STR("transfer-encoding")) > 1))
 		return "bad Transfer-Encoding";
 	r->has_length = p->content_length != ULLONG_MAX;
 	if (!r->has_length)
@@ -267,7 +267,7 @@
 
 static const char *set_host(struct hreq *r)
 {
-	size_t hosts = count_fields(r, STR("host"));
+	size_t hosts = hreq_count(r, STR("host"));
 
 	if (hosts > 1 || (!hosts && r->minor))
 		return "not exactly one Host";
--- a/src/http_request.h
+++ b/src/http_request.h
@@ -52,6 +52,8 @@
 const char *hreq_parse(struct hreq *r, struct str head);
 /* Returns the first field's value; ptr is NULL if there is no such field. */
 struct str hreq_header(const struct hreq *r, struct str name);
+/* Number of fields with the name. */
+size_t hreq_count(const struct hreq *r, struct str name);
 /*
  * Returns true for Content-Length and the hop-by-hop fields of requests and
  * responses: they describe one connection and are not forwarded.
--- a/tests/test_edge_framing.c
+++ b/tests/test_edge_framing.c
@@ -250,6 +250,10 @@
 	{"space in the host, before the first configuration", SERVE_WHOLE,
 	 "GET /p HTTP/1.1\r\nHost: h /q\r\n" ID("a") "\r\n", 0, "", END_NONE,
 	 "", "400.", 0, true},
+	{"two ids", SERVE_WHOLE, POST("a", ID("b") LENGTH(1)) "x", 0, NULL,
+	 END_NONE, "", "400"},
+	{"two equal ids", SERVE_WHOLE, POST("a", ID("a") LENGTH(1)) "x", 0,
+	 NULL, END_NONE, "", "400"},
 };
 
 static struct edge e;
