--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -118,10 +118,13 @@
 static bool is_end_to_end(const struct edge *e, const struct hreq *head,
 			  struct str name)
 {
-	return !hreq_is_hop_by_hop(head, name) &&
-	       !str_eq_nocase(name, STR("expect")) &&
-	       !str_eq_nocase(name, e->headers->deadline_ms) &&
-	       !str_eq_nocase(name, e->headers->expect_server);
+	if (str_eq_nocase(name, STR("host")) ||
+	    str_eq_nocase(name, e->headers->deadline_ms) ||
+	    str_eq_nocase(name, e->headers->expect_server))
+		return false;
+	/* A caller cannot remove it by naming it in Connection. */
+	return hdr_is_known(e->headers, name) ||
+	       !hreq_is_hop_by_hop(head, name);
 }
 
 /* Builds the forwarded head without the fields that frame the body or that
@@ -131,8 +134,9 @@
 {
 	size_t i;
 
-	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\n", STR_FMT(head->method),
-		    STR_FMT(head->target));
+	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\nHost: %.*s\r\n",
+		    STR_FMT(head->method), STR_FMT(head->target),
+		    STR_FMT(head->host));
 	for (i = 0; i < head->field_count; i++) {
 		const struct hreq_field *f = &head->fields[i];
 
@@ -239,13 +243,14 @@
 	const struct conf_route *route;
 	enum chk_route found;
 	int64_t deadline_ns;
+	const char *fault;
 	struct req_row *r;
 	struct hnd h;
 
 	ctr_add(CTR_REQUESTS, 1);
-	if (!chk_deadline(hreq_header(head, e->headers->deadline_ms), start_ns,
-			  &deadline_ns))
-		return refuse_unrouted(e, caller, head, 400, "bad deadline");
+	fault = chk_fields(e->headers, head, start_ns, &deadline_ns);
+	if (fault)
+		return refuse_unrouted(e, caller, head, 400, fault);
 	if (!stop_accepts_requests(e))
 		return refuse_unrouted(e, caller, head, 503, "VM is stopping");
 	if (awaits_first_conf(e)) {
