Edge: connections and attempts belong to one incarnation of a server

A connection to a server was bound to the server's row only. If the row changed between the choice and the connection, or while a connection was kept, the request went to an address that another server may have by then; with the row gone, it went there with an empty Expect-Instance. The answers of the earlier process were counted for the present one: a 421, a 503 or "leaving" of a process that had been replaced kept requests from the one that was listed.

Cause: find_idle() compared the row's handle alone, send_request() looked the row up again and wrote "" for none, and srv_update() changes the address and the incarnation in place.

A row now has a counter, incarnation, that changes when it stands for another process or address: another start, another address, a 421. A connection and an attempt keep the value that they began with. Idle connections of another value are closed. req_send() writes the id only of a row with the attempt's value; otherwise, or if the server is gone, the request goes to another server, as nothing was sent, within the limit for connections that fail. So no request can be sent without the id of the server that it was meant for. Outcomes, refusals and signals of an earlier incarnation no longer count for the present one. A server that drains still gets a request that was chosen for it before, as it serves for a while.

The row is held by the connection's count of requests in flight, so the deletion is forced in the test; no way was found in which it happens by itself.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -181,6 +181,13 @@
 	return SRV_READY;
 }
 
+static bool is_same_address(const struct sockaddr_in *a,
+			    const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
 void srv_update(struct edge *e, const struct srv_report *r)
 {
 	struct srv_row *s = srv_find(e, edge_key(r->id), NULL);
@@ -199,7 +206,10 @@
 		if (r->start_time_ms <= s->start_time_ms)
 			s->said_leaving = false;
 		s->discovered_ns = e->ev.now_ns;
+		s->incarnation++;
 	}
+	if (!added && !is_same_address(&s->addr, &r->addr))
+		s->incarnation++;
 	state = reported_state(s, r);
 	if (added || s->state != state) {
 		s->version = r->version;
@@ -279,6 +289,7 @@
 void srv_set_replaced(struct edge *e, struct srv_row *s)
 {
 	set_gone(e, s);
+	s->incarnation++;
 	e->server_removal_pending = true;
 }
 
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -36,6 +36,13 @@
 	return c && c->state != BCONN_CLOSED ? c : NULL;
 }
 
+struct srv_row *bconn_server(const struct edge *e, const struct bconn_row *c)
+{
+	struct srv_row *s = tab_get(&e->servers, c->server);
+
+	return s && s->incarnation == c->server_incarnation ? s : NULL;
+}
+
 void bconn_response_free(struct bconn_response *resp)
 {
 	strbuf_free(&resp->head);
@@ -126,7 +133,8 @@
 		if (c->state != BCONN_IDLE || !hnd_eq(c->server, server) ||
 		    c->idle_since_ns <= newest)
 			continue;
-		if (e->ev.now_ns - c->idle_since_ns > c->idle_timeout_ns ||
+		if (!bconn_server(e, c) ||
+		    e->ev.now_ns - c->idle_since_ns > c->idle_timeout_ns ||
 		    !is_open_and_idle(c)) {
 			close_connection(e, c);
 			continue;
@@ -176,6 +184,7 @@
 	c = row;
 	c->fd = fd;
 	c->server = server;
+	c->server_incarnation = s->incarnation;
 	c->state = BCONN_CONNECTING;
 	strbuf_init(&c->out);
 	strbuf_init(&c->in);
@@ -283,7 +292,7 @@
 	struct hnd req = c->req;
 	bool streamed = c->streaming;
 	uint64_t idle_s = response.rsp.idle_s;
-	const struct srv_row *s = tab_get(&e->servers, c->server);
+	const struct srv_row *s = bconn_server(e, c);
 
 	strbuf_init(&c->response.head);
 	strbuf_init(&c->response.body);
@@ -432,7 +441,7 @@
 
 	for (i = 0; i < e->backend_conns.len; i++) {
 		struct bconn_row *c = tab_at(&e->backend_conns, i);
-		const struct srv_row *s = tab_get(&e->servers, c->server);
+		const struct srv_row *s = bconn_server(e, c);
 
 		if (c->state != BCONN_IDLE)
 			continue;
--- a/src/edge/edge_backend_connection_internal.h
+++ b/src/edge/edge_backend_connection_internal.h
@@ -11,6 +11,9 @@
 
 /* NULL if the connection is closed. */
 struct bconn_row *bconn_get(const struct edge *e, struct hnd h);
+/* The server that the connection leads to; NULL once its row is gone or stands
+ * for another process. */
+struct srv_row *bconn_server(const struct edge *e, const struct bconn_row *c);
 /* Registers the events that the connection waits for. */
 void bconn_set_events(struct edge *e, struct bconn_row *c, struct hnd h);
 /* Closes the connection and ends the attempt. */
--- a/src/edge/edge_backend_response.c
+++ b/src/edge/edge_backend_response.c
@@ -76,7 +76,7 @@
 		bconn_fail_attempt(e, c, HLTH_BROKEN, fault);
 		return STEP_STOP;
 	}
-	s = tab_get(&e->servers, c->server);
+	s = bconn_server(e, c);
 	if (s)
 		sig_on_response(e, s, &resp->rsp);
 	if (resp->rsp.status / 100 == 1)
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -21,8 +21,6 @@
 #define MAX_UNSENT_BODY_BYTES 262144
 /* Connections that may fail before a request is given up. */
 #define MAX_CONNECT_FAILURES 4
-/* Time without requests for a server that this VM cannot connect to. */
-#define UNREACHABLE_BACKOFF_NS (1500 * NS_PER_MS)
 /* A queued request checks the load again after one to two of these periods. */
 #define QUEUE_RECHECK_NS (30 * NS_PER_MS)
 /* The same while all servers are busy. */
@@ -38,6 +36,13 @@
 	return r && r->state != REQ_DONE ? r : NULL;
 }
 
+struct srv_row *req_server(const struct edge *e, const struct req_row *r)
+{
+	struct srv_row *s = tab_get(&e->servers, r->server);
+
+	return s && s->incarnation == r->server_incarnation ? s : NULL;
+}
+
 void req_log(const struct edge *e, const struct req_row *r, const char *event,
 	     const char *why, int64_t number)
 {
@@ -333,13 +338,17 @@
 		strbuf_add(out, STR("\r\n"));
 }
 
-/* The connection is open: sends as much of the request as was received. */
-static void send_request(struct edge *e, struct req_row *r)
+void req_send(struct edge *e, struct hnd h)
 {
-	const struct srv_row *s = tab_get(&e->servers, r->server);
+	struct req_row *r = req_get(e, h);
+	const struct srv_row *s = req_server(e, r);
 	int64_t left_ms = (r->expires_ns - e->ev.now_ns) / NS_PER_MS;
 	struct strbuf out;
 
+	if (!s || s->state == SRV_GONE) {
+		req_change_server(e, h);
+		return;
+	}
 	strbuf_init(&out);
 	strbuf_add(&out, strbuf_view(&r->head));
 	if (e->headers->deadline_ms.len)
@@ -348,7 +357,7 @@
 			    (long long)(left_ms > 1 ? left_ms : 1));
 	if (e->headers->expect_server.len)
 		strbuf_addf(&out, "%.*s: %s\r\n",
-			    STR_FMT(e->headers->expect_server), s ? s->id : "");
+			    STR_FMT(e->headers->expect_server), s->id);
 	r->streaming = !r->body_done;
 	append_framing(r, &out);
 	strbuf_add(&out, STR("\r\n"));
@@ -478,6 +487,7 @@
 		return;
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
+	r->server_incarnation = s->incarnation;
 	r->accepted = false;
 	r->trial = pick.trial;
 	if (r->tried_count < EDGE_MAX_TRIED)
@@ -492,7 +502,7 @@
 	if (hnd_eq(r->backend_conn, HND_NONE))
 		req_connect_failed(e, h, "cannot open a socket");
 	else if (bconn_is_connected(e, r->backend_conn))
-		send_request(e, r);
+		req_send(e, h);
 }
 
 bool req_wants_body(const struct edge *e, struct hnd h)
@@ -549,45 +559,10 @@
 		bconn_resume(e, r->backend_conn);
 }
 
-void req_connected(struct edge *e, struct hnd h)
-{
-	struct req_row *r = req_get(e, h);
-
-	if (!r)
-		return;
-	/* This process may have been paused since it chose the server. */
-	if (e->ev.now_ns >= r->expires_ns) {
-		req_expire(e, r);
-		return;
-	}
-	send_request(e, r);
-}
-
-/* Nothing was sent, so a request of any kind may go to another server. */
-void req_connect_failed(struct edge *e, struct hnd h, const char *why)
-{
-	struct req_row *r = req_get(e, h);
-	struct srv_row *s;
-
-	if (!r)
-		return;
-	req_log(e, r, "unreachable", why, 0);
-	bconn_cancel(e, r->backend_conn);
-	r->backend_conn = HND_NONE;
-	s = tab_get(&e->servers, r->server);
-	if (s)
-		s->full_until_ns = e->ev.now_ns + UNREACHABLE_BACKOFF_NS;
-	if (!--r->connect_attempts_left) {
-		req_give_up(e, r, "backend servers unreachable");
-		return;
-	}
-	req_dispatch(e, h);
-}
-
 void req_report_outcome(struct edge *e, struct req_row *r,
 			enum hlth_outcome outcome)
 {
-	struct srv_row *s = tab_get(&e->servers, r->server);
+	struct srv_row *s = req_server(e, r);
 
 	if (s && !(r->stall_reported && outcome == HLTH_STALLED))
 		hlth_record(e, s, outcome);
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -126,7 +126,7 @@
 static void handle_not_run(struct edge *e, struct hnd h, int status)
 {
 	struct req_row *r = req_get(e, h);
-	struct srv_row *s = tab_get(&e->servers, r->server);
+	struct srv_row *s = req_server(e, r);
 
 	req_report_outcome(e, r, status == 421 ? HLTH_REPLACED : HLTH_FULL);
 	if (s)
@@ -139,7 +139,7 @@
 
 static void record_completion(struct edge *e, const struct req_row *r)
 {
-	struct srv_row *s = tab_get(&e->servers, r->server);
+	struct srv_row *s = req_server(e, r);
 
 	if (!s)
 		return;
--- a/src/edge/request_internal.h
+++ b/src/edge/request_internal.h
@@ -6,7 +6,8 @@
 
 /*
  * Internal interface of the requests in flight, shared by request.c (from the
- * caller to the backend server), request_attempt.c (results of attempts),
+ * caller to the backend server), request_connection.c (the connection to it
+ * before the request is sent), request_attempt.c (results of attempts),
  * request_timeout.c (timeouts) and request_stop.c (a VM that stops).
  */
 
@@ -15,6 +16,9 @@
 
 /* NULL when the request has ended. */
 struct req_row *req_get(const struct edge *e, struct hnd h);
+/* The server of the current attempt; NULL once its row is gone or stands for
+ * another process. */
+struct srv_row *req_server(const struct edge *e, const struct req_row *r);
 /* Logs an event of a request. number is the field "value": the status of a
  * response, the age of a stalled attempt in milliseconds, 1 if a broken attempt
  * may have run, or else 0. */
@@ -40,6 +44,14 @@
 int64_t req_route_deadline(const struct edge *e);
 /* Chooses a server and sends the request to it, queues it or refuses it. */
 void req_dispatch(struct edge *e, struct hnd h);
+/* The connection is open: sends as much of the request as was received. */
+void req_send(struct edge *e, struct hnd h);
+/*
+ * The server left or was replaced before the request was sent: its address may
+ * be that of another server by now. Sends the request to another server, as
+ * nothing was sent to the first one.
+ */
+void req_change_server(struct edge *e, struct hnd h);
 /* True when req_dispatch() would send it at once; has no side effects. */
 bool req_can_dispatch(struct edge *e, const struct req_row *r);
 /* Reports the outcome of the current attempt to outlier detection. */
--- a/src/edge/request_timeout.c
+++ b/src/edge/request_timeout.c
@@ -69,7 +69,7 @@
 	    e->ev.now_ns - r->sent_ns < ACCEPTED_AFTER_NS)
 		return;
 	r->accepted = true;
-	s = tab_get(&e->servers, r->server);
+	s = req_server(e, r);
 	if (s)
 		hlth_record_accepted(s, r->sent_ns);
 }
--- /dev/null
+++ b/tests/test_edge_server_side.c
@@ -0,0 +1,431 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "edge_socket_fixture.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+#define MAX_CONNS 16
+#define ROUND_MS 2
+#define BODY "body"
+#define REFUSED "X-Not-Run: 1\r\n"
+
+/* The addresses of backend servers. */
+enum place {
+	/* Where i-0 is listed first. */
+	PLACE_FIRST,
+	/* Of i-1, which is far away. */
+	PLACE_OTHER,
+	/* Where i-0 is listed later. */
+	PLACE_LATER,
+	PLACES,
+};
+
+static struct edge e;
+static struct sfix fix;
+static int listeners[PLACES];
+
+struct server_conn {
+	int fd;
+	enum place place;
+	struct strbuf in;
+};
+
+static struct server_conn conns[MAX_CONNS];
+static int conn_count;
+/* Called once, when a connection to a server is being established. */
+static void (*on_connecting)(void);
+
+static void accept_all(void)
+{
+	int place, fd;
+
+	for (place = 0; place < PLACES; place++) {
+		while (fd = accept4(listeners[place], NULL, NULL,
+				    SOCK_NONBLOCK | SOCK_CLOEXEC),
+		       fd >= 0) {
+			assert_true(conn_count < MAX_CONNS);
+			conns[conn_count].fd = fd;
+			conns[conn_count].place = place;
+			strbuf_init(&conns[conn_count++].in);
+		}
+	}
+}
+
+static void tick(void *ctx, int64_t now_ns)
+{
+	uint32_t i;
+
+	for (i = 0; on_connecting && i < e.backend_conns.len; i++) {
+		const struct bconn_row *c = tab_at(&e.backend_conns, i);
+
+		if (c->state != BCONN_CONNECTING)
+			continue;
+		on_connecting();
+		on_connecting = NULL;
+	}
+	sfix_tick(ctx, now_ns);
+}
+
+static void run(int ms)
+{
+	int64_t until_ns = tmr_now() + ms * NS_PER_MS;
+	int i;
+
+	while (tmr_now() < until_ns) {
+		struct sfix_loop loop = {&e, tmr_now() + ROUND_MS * NS_PER_MS,
+					 false};
+
+		e.ev.stop = false;
+		ev_run(&e.ev, &(struct ev_opts){.tick = tick,
+						.next_due = sfix_next_due,
+						.ctx = &loop});
+		accept_all();
+		for (i = 0; i < conn_count; i++)
+			sfix_receive(conns[i].fd, &conns[i].in);
+	}
+}
+
+static void start(void)
+{
+	struct srv_row *s;
+	int place;
+
+	sfix_start(&fix, &e, CONF_UNSAFE);
+	conn_count = 0;
+	on_connecting = NULL;
+	listeners[PLACE_FIRST] = fix.server_fd;
+	listeners[PLACE_OTHER] = sfix_listen();
+	listeners[PLACE_LATER] = sfix_listen();
+	for (place = 0; place < PLACES; place++)
+		fcntl(listeners[place], F_SETFL, O_NONBLOCK);
+	s = fix_server(&e, "i-1", "z2");
+	s->addr = sfix_address(listeners[PLACE_OTHER]);
+}
+
+static void stop(void)
+{
+	int i;
+
+	for (i = 0; i < conn_count; i++) {
+		close(conns[i].fd);
+		strbuf_free(&conns[i].in);
+	}
+	close(listeners[PLACE_OTHER]);
+	close(listeners[PLACE_LATER]);
+	sfix_stop(&fix);
+}
+
+static void send_text(int fd, const char *text)
+{
+	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
+			 strlen(text));
+}
+
+static void send_request(int caller, const char *id)
+{
+	char text[300];
+
+	snprintf(text, sizeof(text),
+		 "POST /x?y=%s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
+		 "X-Deadline-Ms: 4000\r\nX-A: b\r\n"
+		 "Content-Length: %zu\r\n\r\n" BODY "%s",
+		 id, id, strlen(BODY) + strlen(id), id);
+	send_text(caller, text);
+}
+
+static void respond(struct server_conn *c, const char *status,
+		    const char *fields, const char *id)
+{
+	char text[300];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 %s X\r\n%s%s%s%sKeep-Alive: timeout=20\r\n"
+		 "Content-Length: 4\r\n\r\nmine",
+		 status, fields, id ? "X-Request-Id: " : "", id ? id : "",
+		 id ? "\r\n" : "");
+	send_text(c->fd, text);
+}
+
+/* The connection that has got bytes; NULL if there is none. */
+static struct server_conn *find_used(void)
+{
+	int i;
+
+	for (i = 0; i < conn_count; i++)
+		if (conns[i].in.len)
+			return &conns[i];
+	return NULL;
+}
+
+/* Compares all that servers have got with one request, byte by byte but for
+ * the time left, and forgets it. */
+static struct server_conn *check_request(const char *name, const char *id,
+					 enum place place, const char *server)
+{
+	struct server_conn *c = find_used();
+	char text[400];
+	const char *left;
+	int i;
+
+	if (!c)
+		fail_msg("%s: %s arrived nowhere", name, id);
+	left = memmem(c->in.ptr, c->in.len, "X-Deadline-Ms: ", 15);
+	snprintf(text, sizeof(text),
+		 "POST /x?y=%s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
+		 "X-A: b\r\nX-Deadline-Ms: %d\r\nX-Expect-Server: %s\r\n"
+		 "Content-Length: %zu\r\n\r\n" BODY "%s",
+		 id, id, left ? atoi(left + 15) : 0, server,
+		 strlen(BODY) + strlen(id), id);
+	if (c->place != place || !str_eq(strbuf_view(&c->in), str_from(text)))
+		fail_msg("%s: place %d got: %.*s", name, (int)c->place,
+			 (int)c->in.len, c->in.ptr);
+	strbuf_reset(&c->in);
+	for (i = 0; i < conn_count; i++)
+		if (conns[i].in.len)
+			fail_msg("%s: a second connection got bytes", name);
+	return c;
+}
+
+static void check_status(const char *name, int caller, int status)
+{
+	struct strbuf in;
+
+	strbuf_init(&in);
+	sfix_receive(caller, &in);
+	if (in.len < 12 || atoi(in.ptr + 9) != status)
+		fail_msg("%s: not %d: %.*s", name, status, (int)in.len,
+			 in.len ? in.ptr : "");
+	if (status == 200 &&
+	    !str_eq(str_skip(strbuf_view(&in), in.len - 4), STR("mine")))
+		fail_msg("%s: %.*s", name, (int)in.len, in.ptr);
+	strbuf_free(&in);
+}
+
+static struct srv_row *first_server(void)
+{
+	return srv_find(&e, edge_key(STR("i-0")), NULL);
+}
+
+static void no_change(void)
+{
+}
+
+static void leave_store(void)
+{
+	srv_set_missing(&e, STR("i-0"), 2);
+	srv_tick(&e, e.ev.now_ns);
+}
+
+static void replace(void)
+{
+	srv_set_replaced(&e, first_server());
+}
+
+/* No known way leads here, as a row in use is kept. */
+static void delete_row(void)
+{
+	first_server()->in_flight = 0;
+	replace();
+	srv_tick(&e, e.ev.now_ns);
+	assert_null(first_server());
+}
+
+static void update(int64_t start_time_ms, uint64_t seq, enum place place,
+		   bool draining)
+{
+	struct srv_report r = fix_report("i-0", "z0", 2);
+
+	r.start_time_ms = start_time_ms;
+	r.seq = seq;
+	r.addr = sfix_address(listeners[place]);
+	r.draining = draining;
+	srv_update(&e, &r);
+}
+
+static void restart_elsewhere(void)
+{
+	update(2, 0, PLACE_LATER, false);
+}
+
+static void restart_in_place(void)
+{
+	update(2, 0, PLACE_FIRST, false);
+}
+
+static void move(void)
+{
+	update(1, 0, PLACE_LATER, false);
+}
+
+static void drain(void)
+{
+	update(1, 0, PLACE_FIRST, true);
+}
+
+static void leave_and_restart(void)
+{
+	leave_store();
+	restart_elsewhere();
+}
+
+static const struct change_case {
+	const char *name;
+	void (*change)(void);
+	enum place place;
+	const char *server;
+	/* A connection that is kept or being established is of no use. */
+	bool new_connection;
+} change_cases[] = {
+	{"no change", no_change, PLACE_FIRST, "i-0", false},
+	{"not listed any more", leave_store, PLACE_OTHER, "i-1", true},
+	{"replaced", replace, PLACE_OTHER, "i-1", true},
+	{"row deleted", delete_row, PLACE_OTHER, "i-1", true},
+	{"restarted elsewhere", restart_elsewhere, PLACE_LATER, "i-0", true},
+	{"restarted in place", restart_in_place, PLACE_FIRST, "i-0", true},
+	{"moved", move, PLACE_LATER, "i-0", true},
+	{"not listed, then restarted elsewhere", leave_and_restart, PLACE_LATER,
+	 "i-0", true},
+};
+
+/* Guards against a request that is sent on a connection to an address that is
+ * no longer that of its server, or without the server's id. */
+static void test_change_before_sending(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(change_cases); i++) {
+		const struct change_case *c = &change_cases[i];
+		struct server_conn *server;
+		int caller, before;
+
+		start();
+		caller = sfix_connect_caller(&fix);
+		on_connecting = c->change;
+		send_request(caller, "q1");
+		run(30);
+		server = check_request(c->name, "q1", c->place, c->server);
+		assert_int_equal(conn_count, c->new_connection ? 2 : 1);
+		before = conn_count;
+		respond(server, "200", "", "q1");
+		run(20);
+		check_status(c->name, caller, 200);
+		/* The next one goes the same way, on the kept connection. */
+		send_request(caller, "q2");
+		run(30);
+		server = check_request(c->name, "q2", c->place, c->server);
+		assert_int_equal(conn_count, before);
+		respond(server, "200", "", "q2");
+		run(20);
+		check_status(c->name, caller, 200);
+		close(caller);
+		stop();
+	}
+}
+
+/* Guards against a request that is sent on a connection that was kept from
+ * another incarnation or address of its server. */
+static void test_change_while_idle(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(change_cases); i++) {
+		const struct change_case *c = &change_cases[i];
+		struct server_conn *server;
+		int caller;
+
+		/* In use until its idle connection is closed. */
+		if (c->change == delete_row)
+			continue;
+		start();
+		caller = sfix_connect_caller(&fix);
+		send_request(caller, "q1");
+		run(30);
+		server = check_request(c->name, "q1", PLACE_FIRST, "i-0");
+		respond(server, "200", "", "q1");
+		run(20);
+		check_status(c->name, caller, 200);
+		c->change();
+		send_request(caller, "q2");
+		run(30);
+		server = check_request(c->name, "q2", c->place, c->server);
+		if ((server != &conns[0]) != c->new_connection)
+			fail_msg("%s: connection %td", c->name, server - conns);
+		close(caller);
+		stop();
+	}
+}
+
+/* Guards against a drain that moves a request whose server still serves. */
+static void test_drain_before_sending(void **state)
+{
+	int caller;
+
+	(void)state;
+	start();
+	caller = sfix_connect_caller(&fix);
+	on_connecting = drain;
+	send_request(caller, "q1");
+	run(30);
+	check_request("drain", "q1", PLACE_FIRST, "i-0");
+	close(caller);
+	stop();
+}
+
+static const struct late_case {
+	const char *name;
+	const char *status;
+	const char *fields;
+	int caller_status;
+} late_cases[] = {
+	{"success", "200", "", 200},
+	{"replaced", "421", REFUSED, 503},
+	{"full", "503", REFUSED, 503},
+	{"full for long", "503", REFUSED "Retry-After: 5\r\n", 503},
+	{"leaving", "200", "X-Server-Leaving: 1\r\n", 200},
+};
+
+/* Guards against a response of an earlier incarnation that keeps requests from
+ * the present one. */
+static void test_response_of_earlier_incarnation(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(late_cases); i++) {
+		const struct late_case *c = &late_cases[i];
+		struct server_conn *server;
+		int caller;
+
+		start();
+		caller = sfix_connect_caller(&fix);
+		send_request(caller, "q1");
+		run(30);
+		server = check_request(c->name, "q1", PLACE_FIRST, "i-0");
+		restart_elsewhere();
+		respond(server, c->status, c->fields, "q1");
+		run(20);
+		check_status(c->name, caller, c->caller_status);
+		send_request(caller, "q2");
+		run(30);
+		check_request(c->name, "q2", PLACE_LATER, "i-0");
+		close(caller);
+		stop();
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_change_before_sending),
+		cmocka_unit_test(test_change_while_idle),
+		cmocka_unit_test(test_drain_before_sending),
+		cmocka_unit_test(test_response_of_earlier_incarnation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
