Edge: a late copy without an id does not end the next request

Cause: a response without an id on a connection that has carried other requests can't be told to belong to the request, so the attempt failed at once. It depended on timing: the copy arrives 50 ms after the answer, and closes an idle connection, but ends a request that was sent just before.

The id identifies the answer, and servers repeat it, so the answer may still follow: such a response is now discarded like one with another id, within the same limit of bytes, and the connection is closed after the answer. If it is the last one on its connection (Connection: close, or a body without a length), no answer can follow, and the attempt fails at once as before, and so when the server closes. A safe request is repeated when it is found slow, as with any server that doesn't answer.

Evidence, test_response_without_id on the commit before, case by case: 14 of 22 fail (11 cases, the response at once and in two parts), 12 with "not 200: HTTP/1.1 502 Bad Gateway" and 2 with "not 504: HTTP/1.1 502 Bad Gateway" (no answer at all). After: all pass, test_hostile_server as well.

--- a/src/edge/edge_backend_connection.h
+++ b/src/edge/edge_backend_connection.h
@@ -54,7 +54,8 @@
 	bool head_done;
 	/* Responses that the connection has carried before. */
 	bool used_before;
-	/* The response belongs to another request and is discarded. */
+	/* The response belongs to another request, or may do so, and is
+	 * discarded. */
 	bool skip_response;
 	/* Bytes of such responses and of informational ones since the request
 	 * was sent. */
--- a/src/edge/edge_backend_response.c
+++ b/src/edge/edge_backend_response.c
@@ -82,12 +82,13 @@
 	if (resp->rsp.status / 100 == 1)
 		return discard(e, c, len);
 	match = req_match_response(e, c->req, &resp->rsp, c->used_before);
-	if (match == REQ_MATCH_UNKNOWN) {
+	/* The one to the request may still follow, unless this is the last. */
+	if (match == REQ_MATCH_UNKNOWN && !resp->rsp.keep_alive) {
 		bconn_fail_attempt(e, c, HLTH_BROKEN, "response without an id");
 		return STEP_STOP;
 	}
 	c->head_done = true;
-	c->skip_response = match == REQ_MATCH_OTHER;
+	c->skip_response = match != REQ_MATCH;
 	c->no_reuse |= c->skip_response;
 	c->body_left = resp->rsp.length > 0 ? (uint64_t)resp->rsp.length : 0;
 	if (resp->rsp.chunked)
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -39,7 +39,8 @@
 	REQ_MATCH,
 	/* It belongs to another request and must be discarded. */
 	REQ_MATCH_OTHER,
-	/* It cannot be told whether it does. */
+	/* It cannot be told whether it does: it must not be taken for the
+	 * response, which may follow with the id of the request. */
 	REQ_MATCH_UNKNOWN,
 };
 
--- a/tests/test_edge_server_side.c
+++ b/tests/test_edge_server_side.c
@@ -4,6 +4,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <netinet/tcp.h>
+
 #include "edge_socket_fixture.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -40,13 +42,15 @@
 
 static void accept_all(void)
 {
-	int place, fd;
+	int place, fd, one = 1;
 
 	for (place = 0; place < PLACES; place++) {
 		while (fd = accept4(listeners[place], NULL, NULL,
 				    SOCK_NONBLOCK | SOCK_CLOEXEC),
 		       fd >= 0) {
 			assert_true(conn_count < MAX_CONNS);
+			setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one,
+				   sizeof(one));
 			conns[conn_count].fd = fd;
 			conns[conn_count].place = place;
 			strbuf_init(&conns[conn_count++].in);
@@ -418,6 +422,93 @@
 	}
 }
 
+#define BARE_REFUSAL "HTTP/1.1 503 X\r\n" REFUSED "Content-Length: 3\r\n\r\nold"
+
+static const struct bare_case {
+	const char *name;
+	/* What the server sends, without an id, before its response. */
+	const char *bare;
+	/* It goes on to send its response. */
+	bool responds;
+	/* It closes the connection. */
+	bool closes;
+	int caller_status;
+} bare_cases[] = {
+	{"none", "", true, false, 200},
+	{"refusal", BARE_REFUSAL, true, false, 200},
+	{"two refusals", BARE_REFUSAL BARE_REFUSAL, true, false, 200},
+	{"replaced", "HTTP/1.1 421 X\r\n" REFUSED "Content-Length: 0\r\n\r\n",
+	 true, false, 200},
+	{"too many", "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", true, false,
+	 200},
+	{"success", "HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nold", true,
+	 false, 200},
+	{"chunks",
+	 "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+	 "3\r\nold\r\n0\r\n\r\n",
+	 true, false, 200},
+	{"last one of its connection",
+	 "HTTP/1.1 503 X\r\n" REFUSED
+	 "Connection: close\r\nContent-Length: 0\r\n\r\n",
+	 false, false, 502},
+	{"body without a length", "HTTP/1.1 503 X\r\n" REFUSED "\r\nold", false,
+	 false, 502},
+	{"refusal, closed", BARE_REFUSAL, false, true, 502},
+	{"refusal, no response", BARE_REFUSAL, false, false, 504},
+};
+
+/* Guards against a late copy without an id that ends the next request on its
+ * connection, or is taken for its response. */
+static void test_response_without_id(void **state)
+{
+	size_t i;
+
+	(void)state;
+	/* Each at once with the response, and before it, in two parts. */
+	for (i = 0; i < 2 * COUNT(bare_cases); i++) {
+		const struct bare_case *c = &bare_cases[i / 2];
+		struct server_conn *server;
+		int caller;
+
+		start();
+		caller = sfix_connect_caller(&fix);
+		send_request(caller, "q1");
+		run(30);
+		server = check_request(c->name, "q1", PLACE_FIRST, "i-0");
+		respond(server, "200", "", "q1");
+		run(20);
+		check_status(c->name, caller, 200);
+		send_request(caller, "q2");
+		run(30);
+		server = check_request(c->name, "q2", PLACE_FIRST, "i-0");
+		assert_int_equal(conn_count, 1);
+		if (i % 2 && c->bare[0]) {
+			send(server->fd, c->bare, 12, MSG_NOSIGNAL);
+			run(10);
+			send_text(server->fd, c->bare + 12);
+			run(20);
+		} else {
+			send_text(server->fd, c->bare);
+		}
+		if (c->responds)
+			respond(server, "200", "", "q2");
+		if (c->closes)
+			shutdown(server->fd, SHUT_RDWR);
+		run(c->caller_status == 504 ? 4100 : 30);
+		check_status(c->name, caller, c->caller_status);
+		/* It is not repeated. */
+		assert_null(find_used());
+		if (c->caller_status == 200) {
+			send_request(caller, "q3");
+			run(30);
+			check_request(c->name, "q3", PLACE_FIRST, "i-0");
+			assert_int_equal(conn_count, c->bare[0] ? 2 : 1);
+		}
+		close(caller);
+		stop();
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -425,6 +516,7 @@
 		cmocka_unit_test(test_change_while_idle),
 		cmocka_unit_test(test_drain_before_sending),
 		cmocka_unit_test(test_response_of_earlier_incarnation),
+		cmocka_unit_test(test_response_without_id),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
