Edge: a request without an id goes on a connection of its own

Cause: req_match_response() compares ids, and two missing ones are equal. On a connection that carried other requests, nothing tells the copy from the answer.

Such a request now gets a new connection, on which there is no earlier request that a copy could belong to. Callers send an id with each request, so this is rare; where no field for the id is configured, connections are used again as before.

After: the test passes, as do test_edge_server_side, test_edge_upload, test_edge_moved_rows, test_edge_response_end, test_edge_pause, test_hostile_server and test_graceful_stop.

--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -165,7 +165,8 @@
 struct hnd bconn_open(struct edge *e, struct hnd server, struct hnd req)
 {
 	const struct srv_row *s = tab_get(&e->servers, server);
-	struct hnd h = find_idle(e, server);
+	struct hnd h = req_may_reuse_connection(e, req) ? find_idle(e, server)
+							: HND_NONE;
 	struct bconn_row *c = tab_get(&e->backend_conns, h);
 	void *row;
 	int fd;
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -58,6 +58,13 @@
 	return r && r->head_method;
 }
 
+bool req_may_reuse_connection(const struct edge *e, struct hnd h)
+{
+	const struct req_row *r = req_get(e, h);
+
+	return !r || r->id.len || !e->headers->request_id.len;
+}
+
 enum req_match req_match_response(const struct edge *e, struct hnd h,
 				  const struct rsp *rsp, bool used_before)
 {
--- a/tests/test_edge_server_side.c
+++ b/tests/test_edge_server_side.c
@@ -509,6 +509,44 @@
 	}
 }
 
+/* Guards against a late copy that is taken for the response to a request
+ * without an id. */
+static void test_request_without_id(void **state)
+{
+	static const char request[] =
+		"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+	struct server_conn *server;
+	struct strbuf in;
+	int caller;
+
+	(void)state;
+	start();
+	caller = sfix_connect_caller(&fix);
+	send_request(caller, "q1");
+	run(30);
+	server = check_request("first", "q1", PLACE_FIRST, "i-0");
+	respond(server, "200", "", "q1");
+	run(20);
+	check_status("first", caller, 200);
+	send_text(caller, request);
+	run(30);
+	send_text(server->fd, BARE_REFUSAL);
+	run(30);
+	strbuf_init(&in);
+	sfix_receive(caller, &in);
+	if (in.len)
+		fail_msg("got a copy: %.*s", (int)in.len, in.ptr);
+	server = find_used();
+	/* It is on a new connection, and its server refuses it. */
+	assert_ptr_equal(server, &conns[1]);
+	respond(server, "400", "", NULL);
+	run(20);
+	check_status("without an id", caller, 400);
+	strbuf_free(&in);
+	close(caller);
+	stop();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -517,6 +555,7 @@
 		cmocka_unit_test(test_drain_before_sending),
 		cmocka_unit_test(test_response_of_earlier_incarnation),
 		cmocka_unit_test(test_response_without_id),
+		cmocka_unit_test(test_request_without_id),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
