Tests: what servers get after early, long and unusual responses, byte by byte

test_edge_server_side judges from the server's side: all bytes on all of its connections are compared with one whole request (method, target, fields with the server's id, body), after 12 kinds of responses (with bytes left over, 1xx, 204, 304, chunks, that of another request, Connection: close) and after four early responses to an upload on a new and on a kept connection.

--- a/tests/test_edge_server_side.c
+++ b/tests/test_edge_server_side.c
@@ -547,6 +547,179 @@
 	stop();
 }
 
+#define ID "X-Request-Id: q1\r\n"
+
+static const struct reuse_case {
+	const char *name;
+	const char *response;
+	int caller_status;
+	bool reused;
+} reuse_cases[] = {
+	{"whole", "200 X\r\n" ID "Content-Length: 4\r\n\r\nmine", 200, true},
+	{"bytes beyond the length",
+	 "200 X\r\n" ID "Content-Length: 4\r\n\r\nmine!", 200, false},
+	{"chunks",
+	 "200 X\r\n" ID "Transfer-Encoding: chunked\r\n\r\n"
+	 "4\r\nmine\r\n0\r\n\r\n",
+	 200, true},
+	{"bytes after the chunks",
+	 "200 X\r\n" ID "Transfer-Encoding: chunked\r\n\r\n"
+	 "4\r\nmine\r\n0\r\n\r\n\r\n",
+	 200, false},
+	{"after 100",
+	 "100 X\r\n\r\nHTTP/1.1 200 X\r\n" ID "Content-Length: 4\r\n\r\nmine",
+	 200, true},
+	{"100 after the response",
+	 "200 X\r\n" ID "Content-Length: 4\r\n\r\nmineHTTP/1.1 100 X\r\n\r\n",
+	 200, false},
+	{"204", "204 X\r\n" ID "\r\n", 204, true},
+	{"204 with a body", "204 X\r\n" ID "Content-Length: 4\r\n\r\nmine", 204,
+	 false},
+	{"304 with a length", "304 X\r\n" ID "Content-Length: 4\r\n\r\n", 304,
+	 true},
+	{"after that to another",
+	 "200 X\r\nX-Request-Id: z\r\nContent-Length: 1\r\n\r\nz"
+	 "HTTP/1.1 200 X\r\n" ID "Content-Length: 4\r\n\r\nmine",
+	 200, false},
+	{"connection to be closed",
+	 "200 X\r\n" ID "Connection: close\r\nContent-Length: 4\r\n\r\nmine",
+	 200, false},
+	{"error", "500 X\r\n" ID "Content-Length: 4\r\n\r\nmine", 500, true},
+};
+
+/* Guards against a request on a connection with bytes left of an earlier
+ * response, whose end is then uncertain. */
+static void test_reuse_after_response(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(reuse_cases); i++) {
+		const struct reuse_case *c = &reuse_cases[i];
+		struct server_conn *server;
+		int caller;
+
+		start();
+		caller = sfix_connect_caller(&fix);
+		send_request(caller, "q1");
+		run(30);
+		server = check_request(c->name, "q1", PLACE_FIRST, "i-0");
+		send_text(server->fd, "HTTP/1.1 ");
+		send_text(server->fd, c->response);
+		run(30);
+		check_status(c->name, caller, c->caller_status);
+		send_request(caller, "q2");
+		run(30);
+		server = check_request(c->name, "q2", PLACE_FIRST, "i-0");
+		if ((server == &conns[0]) != c->reused)
+			fail_msg("%s: connection %td", c->name, server - conns);
+		respond(server, "200", "", "q2");
+		run(30);
+		check_status(c->name, caller, 200);
+		close(caller);
+		stop();
+	}
+}
+
+/* What a server responds to an upload before it has got its end. */
+static const struct early_case {
+	const char *name;
+	const char *status;
+	const char *fields;
+	/* Bytes of the body that the caller has sent by then. */
+	int sent_first;
+	/* The server's only connection is one that was used before. */
+	bool kept;
+} early_cases[] = {
+	{"success, in parts", "200", "", 1200000, false},
+	{"success, in parts, kept", "200", "", 1200000, true},
+	{"refusal, in parts", "503", REFUSED, 1200000, true},
+	{"error, whole", "500", "", 1500000, true},
+};
+
+static void send_upload(int caller, int bytes)
+{
+	static char data[16384];
+	int rounds = 2000;
+
+	memset(data, 'u', sizeof(data));
+	while (bytes > 0 && rounds-- > 0) {
+		size_t len = (size_t)bytes < sizeof(data) ? (size_t)bytes
+							  : sizeof(data);
+		ssize_t n = send(caller, data, len, MSG_NOSIGNAL);
+
+		if (n > 0)
+			bytes -= (int)n;
+		else
+			run(1);
+	}
+	assert_int_equal(bytes, 0);
+}
+
+/* Guards against a request whose bytes take the place of the rest of an upload
+ * that its server had answered early. */
+static void test_early_response(void **state)
+{
+	const int total = 1500000;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(early_cases); i++) {
+		const struct early_case *c = &early_cases[i];
+		struct server_conn *server;
+		struct strbuf in;
+		char head[200];
+		const char *body;
+		size_t k;
+		int caller;
+
+		start();
+		caller = sfix_connect_caller(&fix);
+		if (c->kept) {
+			send_request(caller, "q1");
+			run(30);
+			server = check_request(c->name, "q1", PLACE_FIRST,
+					       "i-0");
+			respond(server, "200", "", "q1");
+			run(20);
+			check_status(c->name, caller, 200);
+		}
+		snprintf(head, sizeof(head),
+			 "POST /u HTTP/1.1\r\nHost: h\r\nX-Request-Id: u1\r\n"
+			 "X-Deadline-Ms: 6000\r\nContent-Length: %d\r\n\r\n",
+			 total);
+		send_text(caller, head);
+		send_upload(caller, c->sent_first);
+		run(30);
+		server = find_used();
+		assert_non_null(server);
+		respond(server, c->status, c->fields, "u1");
+		run(30);
+		send_upload(caller, total - c->sent_first);
+		/* A refusal keeps requests from the server for a while. */
+		run(250);
+		check_status(c->name, caller, atoi(c->status));
+		strbuf_init(&in);
+		strbuf_add(&in, strbuf_view(&server->in));
+		strbuf_reset(&server->in);
+		body = memmem(in.ptr, in.len, "\r\n\r\n", 4);
+		assert_non_null(body);
+		for (k = (size_t)(body + 4 - in.ptr); k < in.len; k++)
+			if (in.ptr[k] != 'u')
+				fail_msg("%s: byte %zu differs", c->name, k);
+		send_request(caller, "q2");
+		run(30);
+		if (server->in.len &&
+		    k - (size_t)(body + 4 - in.ptr) < (size_t)total)
+			fail_msg("%s: bytes after %zu of the body", c->name,
+				 k - (size_t)(body + 4 - in.ptr));
+		check_request(c->name, "q2", PLACE_FIRST, "i-0");
+		strbuf_free(&in);
+		close(caller);
+		stop();
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -556,6 +729,8 @@
 		cmocka_unit_test(test_response_of_earlier_incarnation),
 		cmocka_unit_test(test_response_without_id),
 		cmocka_unit_test(test_request_without_id),
+		cmocka_unit_test(test_reuse_after_response),
+		cmocka_unit_test(test_early_response),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
