--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -58,6 +58,13 @@
 	return r && r->head_method;
 }
 
+bool req_may_reuse_connection(const struct edge *e, struct hnd h)
+{
+	const struct req_row *r = req_get(e, h);
+
+	return !r || r->id.len || !e->headers->request_id.len;
+}
+
 enum req_match req_match_response(const struct edge *e, struct hnd h,
 				  const struct rsp *rsp, bool used_before)
 {
@@ -126,7 +133,7 @@
 static void handle_not_run(struct edge *e, struct hnd h, int status)
 {
 	struct req_row *r = req_get(e, h);
-	struct srv_row *s = tab_get(&e->servers, r->server);
+	struct srv_row *s = req_server(e, r);
 
 	req_report_outcome(e, r, status == 421 ? HLTH_REPLACED : HLTH_FULL);
 	if (s)
@@ -139,7 +146,7 @@
 
 static void record_completion(struct edge *e, const struct req_row *r)
 {
-	struct srv_row *s = tab_get(&e->servers, r->server);
+	struct srv_row *s = req_server(e, r);
 
 	if (!s)
 		return;
