Soak: servers compare each request with what its caller sent

The soak could not see work that nobody had sent: serverd compared nothing, soak ignored unknown ids, and callers sent plain bodies only.

All that a caller sends now follows from the request's id. serverd with "check" compares method, path, query, fields and body and records differences; soak reports them, and every run that no caller sent. Callers also send chunked bodies, in pieces, pipelined, broken off. New faults: early answers, and a server's address that goes to another id.

--- a/scripts/edge.sh
+++ b/scripts/edge.sh
@@ -22,6 +22,8 @@
 declare -A pid_of
 # Start of each backend server in Unix milliseconds; 1 if unset.
 declare -A server_start_ms
+# Id of each backend server; i-NUMBER if unset.
+declare -A server_ids
 failed=0
 
 cleanup() {
@@ -58,6 +60,12 @@
 JSON
 }
 
+remove_row() { # TABLE KEY
+	curl -s -m 5 -o /dev/null -H 'X-Operator: 1' \
+		--data "{\"remove\":[{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\"}]}" \
+		"http://$store/rows-tx"
+}
+
 control_store() { # JSON
 	curl -s -m 5 -o /dev/null --data "$1" "http://$store/control"
 }
@@ -81,13 +89,16 @@
 		\"max_conns\":390,\"protocol\":\"h1\",\"tls\":false}]}"
 }
 
-start_server() { # N ; the server records its runs in $runs_dir if that is set
-	start_process "s$1" "$build/serverd" "127.21.1.$1:$port:i-$1" \
-		${runs_dir:+"$runs_dir/i-$1"}
+# The server records its runs in $runs_dir if that is set, and compares the
+# requests with what soak sent if $check_requests is set.
+start_server() { # N
+	local id=${server_ids[$1]:-i-$1}
+	start_process "s$1" "$build/serverd" "127.21.1.$1:$port:$id" \
+		${runs_dir:+"$runs_dir/$id"} ${check_requests:+check}
 }
 
 put_server() { # N STATE
-	put_row servers "i-$1" "{\"address\":\"$server_net.$1:$port\",
+	put_row servers "${server_ids[$1]:-i-$1}" "{\"address\":\"$server_net.$1:$port\",
 		\"born\":${server_start_ms[$1]:-1},
 		\"info\":{\"service\":\"svc\",\"version\":\"v1\",
 		\"zone\":\"${server_zones[$1]}\",\"slots\":6},
@@ -120,6 +131,7 @@
 }
 
 request_id=0
+request_prefix=q
 # Sets $status from a request with a deadline of $deadline_ms, 5000 if unset, and
 # writes the response to $dir/head and $dir/body.
 send_request() { # VM PATH CURL-OPTIONS...
@@ -128,7 +140,7 @@
 	request_id=$((request_id + 1))
 	status=$(curl -s -m 8 -o "$dir/body" -D "$dir/head" \
 		-w '%{http_code}' -H 'Host: h.example' \
-		-H "Request-Id: q$request_id" -H "Deadline-Ms: ${deadline_ms:-5000}" "$@" \
+		-H "Request-Id: $request_prefix$request_id" -H "Deadline-Ms: ${deadline_ms:-5000}" "$@" \
 		"http://127.21.2.$vm:$port$path")
 }
 
--- a/scripts/measure_edge.sh
+++ b/scripts/measure_edge.sh
@@ -10,6 +10,7 @@
 . scripts/edge.sh
 runs_dir=$dir/runs
 mkdir "$runs_dir"
+check_requests=1
 healthy_s=10
 fault_s=3
 # Time after the fault in which ejected servers get trials and are reinstated.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,11 +1,14 @@
 #!/usr/bin/env bash
 # Fault soak of edge VMs: real processes, external faults drawn from a seed, and
-# callers that check the documented guarantees (tools/soak.c). A phase of
+# callers that check the documented guarantees (tools/soak.c), while the servers
+# compare each request with what its caller sent (tools/serverd.c). A phase of
 # overlapping faults is followed by a recovery phase, at whose end all requests
 # must be served again.
 #
 #   soak.sh SEED [FAULT-SECONDS]
 #
+# SOAK_FORMER_FAULTS=1 draws from the faults before "replace" and "early" were
+# added, so that a seed from then gives the same sequence.
 # Prints each fault with its time, and each violated guarantee. Clock changes
 # are not tested: an edge VM reads the time of day only at its start.
 set -u
@@ -21,6 +24,7 @@
 proxy=127.21.0.3:$port
 runs_dir=$dir/runs
 mkdir "$runs_dir"
+check_requests=1
 RANDOM=$seed
 # Recovery phase, in whose last quiet_s all requests must be served.
 recovery_s=12
@@ -173,6 +177,7 @@
 
 fault_server_fault() {
 	local modes=(reset shed error hang unsigned stray cut)
+	[ -n "${SOAK_FORMER_FAULTS:-}" ] || modes+=(early)
 	local mode=${modes[RANDOM % ${#modes[@]}]}
 	reserve s "$server_count" || return
 	log "server $target: $mode"
@@ -196,6 +201,19 @@
 	schedule $((300 + RANDOM % 2000)) "restart_server $target"
 }
 
+# A server with another id gets the address; for a while the row of the former
+# one still names it.
+fault_server_replace() {
+	local former
+	reserve s "$server_count" || return
+	former=${server_ids[$target]:-i-$target}
+	log "replace server $target"
+	stop_process "s$target" KILL
+	schedule $((RANDOM % 4000)) "remove_row servers $former"
+	schedule 2000 "server_ids[$target]=i-$target-$(now_ms);
+		restart_server $target"
+}
+
 fault_server_drain() {
 	reserve s "$server_count" || return
 	log "drain server $target"
@@ -256,6 +274,7 @@
 
 inject_faults() {
 	local faults end end_ms
+	[ -z "${SOAK_FORMER_FAULTS:-}" ] || unset -f fault_server_replace
 	mapfile -t faults < <(compgen -A function fault_)
 	end=$(($(now_ms) + fault_s * 1000))
 	while [ "$(now_ms)" -lt $end ]; do
@@ -274,7 +293,8 @@
 }
 
 count_server_runs() { # SERVER
-	[ -e "$runs_dir/i-$1" ] && wc -l <"$runs_dir/i-$1"
+	local file=$runs_dir/${server_ids[$1]:-i-$1}
+	[ -e "$file" ] && grep -vc "^violation" "$file"
 }
 
 recovery_checks() {
@@ -285,6 +305,7 @@
 	done
 	version=$((version + 1))
 	put_config $version "${routes[@]}" "safe-$version"
+	request_prefix=probe-$version-
 	put_server 1 draining
 	sleep 2.2
 	before=$(count_server_runs 1)
--- a/tools/serverd.c
+++ b/tools/serverd.c
@@ -3,11 +3,18 @@
  * platform, with fault injection. It serves edge VMs; backendd serves entry
  * VMs.
  *
- *   serverd ADDRESS:PORT:ID [RUNS-FILE]
+ *   serverd ADDRESS:PORT:ID [RUNS-FILE [check]]
  *
  * A request for any path but those below runs and gets 200 with its own body,
  * or "ok" without one. The ids of requests that ran are also appended to
  * RUNS-FILE, which outlives the process.
+ *
+ * With "check", each request is compared with what its id says that the caller
+ * sent (soak_request.h), as far as it arrives; "violation ID WHAT" in RUNS-FILE
+ * is a difference. One that does not arrive whole does not run. The response
+ * has the body of sreq_add_response(). "early ID" is a run that was answered
+ * before its body was read. Bytes that are no request at all get CivetWeb's 400
+ * and are not recorded.
  *   /stub/runs           a line "REQUEST-ID" for each run
  *   /stub/fault?mode=M   sets the fault:
  *     none       no fault
@@ -24,6 +31,7 @@
  *     pause      503, not run, with a Retry-After of 3 s
  *     twice      sends the response again 50 ms later
  *     twice-bare sends a 503 "not run" without an id 50 ms after the response
+ *     early      with "check": responds before it reads the body, then reads on
  *     endless-head, endless-info, endless-body, endless-chunk, endless-other
  *                sends header fields, informational responses, a body, a chunk
  *                line or responses of others until the connection is closed
@@ -36,7 +44,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "counted_string.h"
+#include "soak_request.h"
 
 #define MAX_RUNS 65536
 #define ID_BYTES 64
@@ -56,7 +64,8 @@
 static char runs[MAX_RUNS][ID_BYTES];
 static unsigned run_count;
 static int runs_fd = -1;
-/* Protects fault, runs, run_count and the lines of runs_fd. */
+static bool check;
+/* Protects fault, runs and run_count. */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 /* Announces the whole body, but sends only its first sent_len bytes. */
@@ -81,13 +90,21 @@
 	return found;
 }
 
-static void record_run(const char *id)
+static void append_line(const char *line)
 {
+	if (runs_fd >= 0 && dprintf(runs_fd, "%s\n", line) < 0)
+		perror("serverd: cannot append to RUNS-FILE");
+}
+
+static void record_run(const char *prefix, const char *id)
+{
+	char line[256];
+
+	snprintf(line, sizeof(line), "%s%s", prefix, id);
 	pthread_mutex_lock(&lock);
 	if (run_count < MAX_RUNS)
 		str_copy(runs[run_count++], ID_BYTES, str_from(id));
-	if (runs_fd >= 0 && dprintf(runs_fd, "%s\n", id) < 0)
-		perror("serverd: cannot append to RUNS-FILE");
+	append_line(line);
 	pthread_mutex_unlock(&lock);
 }
 
@@ -157,31 +174,140 @@
 	return true;
 }
 
-static int run_request(struct mg_connection *c, const char *id)
+/* A request on its way in, compared with what its id says. */
+struct arrival {
+	struct mg_connection *c;
+	const char *id;
+	/* What the caller sent; meaningless if the id is not a caller's. */
+	struct sreq sent;
+	bool known;
+	bool differs;
+	/* Bytes of the body received. */
+	size_t received;
+	/* -1 if chunked. */
+	long long length;
+	bool ended;
+};
+
+__attribute__((format(printf, 2, 3))) static void
+record_violation(struct arrival *a, const char *fmt, ...)
 {
-	static const char signature[] = "Response-Signature: 1.2.3\r\n";
-	char *body = malloc(MAX_BODY_BYTES);
-	struct str content = STR("ok");
-	size_t len = 0;
-	int n = 1, waited_ms;
-
-	while (body && len < MAX_BODY_BYTES && n > 0) {
-		n = mg_read(c, body + len, MAX_BODY_BYTES - len);
-		len += n > 0 ? (size_t)n : 0;
+	struct strbuf text;
+	char what[300];
+	va_list args;
+	size_t i;
+
+	a->differs = true;
+	va_start(args, fmt);
+	vsnprintf(what, sizeof(what), fmt, args);
+	va_end(args);
+	for (i = 0; what[i]; i++)
+		if ((unsigned char)what[i] < ' ')
+			what[i] = '?';
+	strbuf_init(&text);
+	strbuf_addf(&text, "violation %s %s", a->id && *a->id ? a->id : "-",
+		    what);
+	append_line(strbuf_cstr(&text));
+	strbuf_free(&text);
+}
+
+static void compare_text(struct arrival *a, const char *what,
+			 const char *received, const char *sent)
+{
+	received = received ? received : "";
+	if (strcmp(received, sent) != 0)
+		record_violation(a, "%s is \"%.90s\", sent was \"%.90s\"", what,
+				 received, sent);
+}
+
+static void start_arrival(struct arrival *a, struct mg_connection *c)
+{
+	const struct mg_request_info *info = mg_get_request_info(c);
+	const char *length = mg_get_header(c, "Content-Length");
+	size_t i;
+
+	memset(a, 0, sizeof(*a));
+	a->c = c;
+	a->id = mg_get_header(c, "Request-Id");
+	a->length = length ? strtoll(length, NULL, 10) : 0;
+	if (mg_get_header(c, "Transfer-Encoding"))
+		a->length = -1;
+	a->ended = !a->length;
+	if (!check)
+		return;
+	a->known = a->id && sreq_from_id(&a->sent, str_from(a->id));
+	if (!a->known) {
+		record_violation(a, "%s: %s %.90s",
+				 a->id ? "not an id of a caller" : "no id",
+				 info->request_method, info->request_uri);
+		return;
+	}
+	if (!mg_get_header(c, "Expect-Instance"))
+		record_violation(a, "does not say for which server it is");
+	compare_text(a, "method", info->request_method, a->sent.method);
+	compare_text(a, "path", info->request_uri, a->sent.path);
+	compare_text(a, "query", info->query_string, a->sent.query);
+	compare_text(a, "field Host", mg_get_header(c, "Host"), "h.example");
+	for (i = 0; i < COUNT(a->sent.fields) && !a->sent.probe; i++)
+		compare_text(a, sreq_field_names[i],
+			     mg_get_header(c, sreq_field_names[i]),
+			     a->sent.fields[i]);
+	if (a->length >= 0 && (size_t)a->length != a->sent.body_len)
+		record_violation(a, "length %lld, sent were %zu bytes",
+				 a->length, a->sent.body_len);
+}
+
+/* Reads to the end and compares; false if the body does not arrive whole. */
+static bool read_rest(struct arrival *a)
+{
+	/* CivetWeb drops what it has of a block if a chunked body breaks off:
+	 * small, so that little remains without a comparison. */
+	char block[512];
+	int n = 0;
+
+	while (!a->ended && (n = mg_read(a->c, block, sizeof(block))) > 0) {
+		size_t equal =
+			sreq_compare(&a->sent, a->received, block, (size_t)n);
+
+		if (a->known && !a->differs && equal < (size_t)n)
+			record_violation(a, "byte %zu of %zu differs",
+					 a->received + equal, a->sent.body_len);
+		a->received += (size_t)n;
 	}
-	if (len)
-		content = (struct str){body, len};
-	record_run(id);
+	if (n < 0 || (a->length > 0 && a->received != (size_t)a->length))
+		return false;
+	if (!a->ended && a->known && a->received != a->sent.body_len)
+		record_violation(a, "ends after %zu of %zu bytes", a->received,
+				 a->sent.body_len);
+	a->ended = true;
+	return true;
+}
+
+static void read_plain(struct arrival *a, struct strbuf *body)
+{
+	char block[16384];
+	int n = 1;
+
+	while (body->len < MAX_BODY_BYTES &&
+	       (n = mg_read(a->c, block, sizeof(block))) > 0)
+		strbuf_add(body, (struct str){block, (size_t)n});
+}
+
+static void respond(struct arrival *a, struct str content)
+{
+	static const char signature[] = "Response-Signature: 1.2.3\r\n";
+	struct mg_connection *c = a->c;
+	const char *id = a->id;
+	int waited_ms;
+
 	usleep(SERVICE_TIME_US);
 	for (waited_ms = 0; has_fault("hang") && waited_ms < HANG_MS;
 	     waited_ms += HANG_POLL_MS)
 		usleep(HANG_POLL_MS * 1000);
 	if (has_fault("slow"))
 		usleep(SLOW_MS * 1000);
-	if (send_endless(c)) {
-		free(body);
-		return 200;
-	}
+	if (send_endless(c))
+		return;
 	if (has_fault("reset"))
 		mg_close_connection(c);
 	else if (has_fault("error"))
@@ -209,35 +335,68 @@
 			     "Content-Length: 0\r\n\r\n");
 	if (has_fault("cut"))
 		mg_close_connection(c);
-	free(body);
+}
+
+static int run_request(struct arrival *a)
+{
+	struct strbuf content;
+
+	strbuf_init(&content);
+	if (a->known)
+		sreq_add_response(&a->sent, &content);
+	if (a->known && has_fault("early")) {
+		record_run("early ", a->id);
+		send_response(a->c, 200, "Response-Signature: 1.2.3\r\n", a->id,
+			      strbuf_view(&content), content.len);
+		read_rest(a);
+		strbuf_free(&content);
+		return 200;
+	}
+	if (check && !read_rest(a)) {
+		mg_close_connection(a->c);
+		strbuf_free(&content);
+		return 400;
+	}
+	if (!check)
+		read_plain(a, &content);
+	record_run("", a->id);
+	respond(a, content.len ? strbuf_view(&content) : STR("ok"));
+	strbuf_free(&content);
 	return 200;
 }
 
+/* Refuses the request as not run. */
+static int refuse(struct arrival *a, int status, const char *extra,
+		  struct str text)
+{
+	send_response(a->c, status, extra, a->id ? a->id : "", text, text.len);
+	if (check)
+		read_rest(a);
+	return status;
+}
+
 static int on_request(struct mg_connection *c, void *ctx)
 {
 	const struct mg_request_info *info = mg_get_request_info(c);
 	const char *expected_id = mg_get_header(c, "Expect-Instance");
-	const char *id = mg_get_header(c, "Request-Id");
+	struct arrival a;
 
 	(void)ctx;
 	if (!strcmp(info->local_uri, "/stub/runs"))
 		return send_runs(c);
 	if (!strcmp(info->local_uri, "/stub/fault"))
 		return set_fault(c, info->query_string);
-	if (!id)
-		return send_response(c, 400, "Not-Executed: 1\r\n", "",
-				     STR("no id"), 5);
+	start_arrival(&a, c);
+	if (!a.id)
+		return refuse(&a, 400, "Not-Executed: 1\r\n", STR("no id"));
 	if (expected_id && strcmp(expected_id, server_id) != 0)
-		return send_response(c, 421, "Not-Executed: 1\r\n", id,
-				     STR("other"), 5);
+		return refuse(&a, 421, "Not-Executed: 1\r\n", STR("other"));
 	if (has_fault("pause"))
-		return send_response(c, 503,
-				     "Not-Executed: 1\r\nRetry-After: 3\r\n",
-				     id, STR("full"), 4);
+		return refuse(&a, 503, "Not-Executed: 1\r\nRetry-After: 3\r\n",
+			      STR("full"));
 	if (has_fault("shed"))
-		return send_response(c, 503, "Not-Executed: 1\r\n", id,
-				     STR("full"), 4);
-	return run_request(c, id);
+		return refuse(&a, 503, "Not-Executed: 1\r\n", STR("full"));
+	return run_request(&a);
 }
 
 int main(int argc, char **argv)
@@ -245,26 +404,28 @@
 	const char *options[] = {"listening_ports",
 				 NULL,
 				 "num_threads",
-				 "32",
+				 "64",
 				 "enable_keep_alive",
 				 "yes",
 				 "keep_alive_timeout_ms",
 				 "10000",
 				 NULL};
-	struct str address = str_from(argc == 2 || argc == 3 ? argv[1] : "");
+	struct str address = str_from(argc >= 2 && argc <= 4 ? argv[1] : "");
 	char listen[64];
 	size_t at = address.len;
 	struct mg_context *ctx;
 
 	while (at > 0 && address.ptr[at - 1] != ':')
 		at--;
-	if (!at) {
-		fprintf(stderr, "usage: serverd ADDRESS:PORT:ID [RUNS-FILE]\n");
+	check = argc == 4 && !strcmp(argv[3], "check");
+	if (!at || (argc == 4 && !check)) {
+		fprintf(stderr, "usage: serverd ADDRESS:PORT:ID "
+				"[RUNS-FILE [check]]\n");
 		return 2;
 	}
-	if (argc == 3)
+	if (argc >= 3)
 		runs_fd = open(argv[2], O_WRONLY | O_CREAT | O_APPEND, 0600);
-	if (argc == 3 && runs_fd < 0) {
+	if (argc >= 3 && runs_fd < 0) {
 		perror(argv[2]);
 		return 1;
 	}
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -1,9 +1,12 @@
 /*
  * Load generator and checker of the fault soak. Each caller gets the addresses
  * of edge VMs from their directory port, reuses its connection while it is open
- * and listed, and sends requests of all kinds one after the other. At the end,
- * the outcomes that the responses stated are compared with the runs that the
- * backend servers recorded.
+ * and listed or closes it after a few requests, and sends requests of all kinds
+ * (soak_request.h), with a length or chunked, at once or in pieces, some of
+ * them pipelined, some broken off before their end. At the end, the outcomes
+ * that the responses stated are compared with the runs that the backend servers
+ * recorded; each run must be of a request that was sent, and the servers
+ * (serverd with "check") must have got what was sent.
  *
  *   soak -s SEED -t SECONDS -q QUIET -r RUNS-DIR -p PORT VM-ADDRESS...
  *
@@ -12,8 +15,8 @@
  * directory port is PORT + 2. Prints a line for each violated guarantee, then
  * the totals; exits with 1 after a violation.
  */
-#include <arpa/inet.h>
 #include <dirent.h>
+#include <errno.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -23,33 +26,29 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http_body.h"
 #include "hash_index.h"
-#include "response_head.h"
+#include "soak_message.h"
 #include "timer.h"
 
-#define CALLERS 12
+#define CALLERS 20
 #define MAX_VMS 16
 #define ADDRESS_BYTES 32
-#define ID_BYTES 48
-#define UPLOAD_BYTES 100000
-#define UNSAFE_BODY_BYTES 40
-#define DEADLINE_MS 4000
-#define CONNECT_TIMEOUT_MS 1000
 /* A response is awaited for a second longer than the deadline. */
-#define RESPONSE_TIMEOUT_MS (DEADLINE_MS + 1000)
+#define RESPONSE_TIMEOUT_MS (SMSG_DEADLINE_MS + 1000)
 #define ADDRESS_TTL_NS (2 * NS_PER_S)
 #define MAX_PAUSE_US 40000
 #define MAX_VIOLATION_LINES 40
 /* In the quiet period, at most one in this many requests may fail. */
 #define QUIET_REQUESTS_PER_FAILURE 100
 
-enum request_kind {
-	REQUEST_SAFE,
-	REQUEST_UNSAFE,
-	REQUEST_UPLOAD,
-	REQUEST_KINDS
-};
+#define MAX_PIPELINED 3
+#define MAX_PIECES 6
+#define MAX_PIECE_PAUSE_MS 30
+/* One in this many batches of requests: is pipelined, is broken off, is the
+ * last one of its connection. */
+#define BATCHES_PER_PIPELINE 5
+#define BATCHES_PER_CUT 12
+#define BATCHES_PER_CLOSE 4
 
 enum outcome {
 	OUTCOME_SERVED,
@@ -59,17 +58,20 @@
 	OUTCOMES,
 };
 
-static const char *const kind_names[] = {"safe", "unsafe", "upload"};
 static const char *const outcome_names[] = {"served", "not run", "unknown"};
 
 struct request_record {
-	char id[ID_BYTES];
-	enum request_kind kind;
+	char id[SREQ_ID_BYTES];
+	enum sreq_kind kind;
 	enum outcome outcome;
 	/* The request started in the quiet period. */
 	bool quiet;
+	/* The caller broke it off before its end. */
+	bool cut;
 	/* As recorded by the backend servers. */
 	uint32_t runs;
+	/* Of these runs, those that were answered before the body was read. */
+	uint32_t early_runs;
 };
 
 struct caller {
@@ -94,6 +96,8 @@
 	size_t vm_count;
 	/* Violated guarantees. */
 	unsigned violations;
+	/* Lines printed of this group of violations. */
+	unsigned lines;
 	pthread_mutex_t lock;
 } soak = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
@@ -103,7 +107,8 @@
 	va_list args;
 
 	pthread_mutex_lock(&soak.lock);
-	if (soak.violations++ < MAX_VIOLATION_LINES) {
+	soak.violations++;
+	if (soak.lines++ < MAX_VIOLATION_LINES) {
 		printf("BROKEN %s: ", id);
 		va_start(args, fmt);
 		vprintf(fmt, args);
@@ -113,14 +118,6 @@
 	pthread_mutex_unlock(&soak.lock);
 }
 
-static uint64_t random_below(struct caller *c, uint64_t below)
-{
-	c->random ^= c->random << 13;
-	c->random ^= c->random >> 7;
-	c->random ^= c->random << 17;
-	return (c->random * UINT64_C(0x2545f4914f6cdd1d) >> 11) % below;
-}
-
 static void close_connection(struct caller *c)
 {
 	if (c->fd >= 0)
@@ -128,93 +125,6 @@
 	c->fd = -1;
 }
 
-static int connect_to(const char *address, uint16_t port)
-{
-	struct sockaddr_in to = {.sin_family = AF_INET,
-				 .sin_port = htons(port)};
-	struct timeval limit = {CONNECT_TIMEOUT_MS / 1000, 0};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -1;
-	inet_pton(AF_INET, address, &to.sin_addr);
-	/* Also limits connect(). */
-	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-	if (!connect(fd, (void *)&to, sizeof(to)))
-		return fd;
-	close(fd);
-	return -1;
-}
-
-static bool send_all(int fd, struct str bytes)
-{
-	while (bytes.len) {
-		ssize_t n = send(fd, bytes.ptr, bytes.len, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return false;
-		bytes = str_skip(bytes, (size_t)n);
-	}
-	return true;
-}
-
-struct response {
-	struct strbuf bytes;
-	struct rsp rsp;
-	struct strbuf body;
-	/* The head and the complete body were received. */
-	bool complete;
-	/* Bytes received after the response. */
-	size_t trailing_bytes;
-};
-
-static void response_init(struct response *res)
-{
-	memset(res, 0, sizeof(*res));
-	strbuf_init(&res->bytes);
-	strbuf_init(&res->body);
-}
-
-static void response_free(struct response *res)
-{
-	strbuf_free(&res->bytes);
-	strbuf_free(&res->body);
-}
-
-/* Parses the bytes received so far; returns NULL, or why they are invalid. */
-static const char *parse_response(struct response *res)
-{
-	struct str in = strbuf_view(&res->bytes);
-	size_t head = hreq_head_len(in);
-	struct hbod body;
-	const char *fault;
-
-	if (!head)
-		return NULL;
-	fault = rsp_parse(&res->rsp, (struct str){in.ptr, head}, false);
-	if (fault)
-		return fault;
-	in = str_skip(in, head);
-	strbuf_reset(&res->body);
-	hbod_init(&body,
-		  &(struct hreq){.chunked = res->rsp.chunked,
-				 .has_length = res->rsp.length >= 0,
-				 .length = res->rsp.length > 0
-						   ? (uint64_t)res->rsp.length
-						   : 0});
-	while (in.len && body.state != HBOD_DONE &&
-	       body.state != HBOD_MALFORMED) {
-		struct str data = STR_NONE;
-		size_t used = hbod_decode(&body, in, &data);
-
-		strbuf_add(&res->body, data);
-		in = str_skip(in, used);
-	}
-	res->complete = body.state == HBOD_DONE;
-	res->trailing_bytes = res->complete ? in.len : 0;
-	return body.state == HBOD_MALFORMED ? "malformed chunks" : NULL;
-}
-
 /* Reads a response until it is complete, the connection ends or time is up. */
 static void receive_response(int fd, int64_t until_ns, const char *id,
 			     struct response *res)
@@ -232,7 +142,7 @@
 		if (n <= 0)
 			return;
 		strbuf_add(&res->bytes, (struct str){bytes, (size_t)n});
-		fault = parse_response(res);
+		fault = response_parse(res);
 		if (fault) {
 			report_violation(id, "invalid response: %s", fault);
 			return;
@@ -258,15 +168,16 @@
 
 static void fetch_addresses(struct caller *c)
 {
-	const char *vm = soak.vms[random_below(c, soak.vm_count)];
-	int fd = connect_to(vm, (uint16_t)(soak.port + 2));
+	const char *vm = soak.vms[smsg_random(&c->random, soak.vm_count)];
+	int fd = smsg_connect(vm, (uint16_t)(soak.port + 2));
 	struct response res;
 
 	if (fd < 0)
 		return;
 	response_init(&res);
-	if (send_all(fd, STR("GET /resolve?name=h.example&region=ra&zone=z0 "
-			     "HTTP/1.1\r\nHost: d\r\n\r\n")))
+	if (smsg_send_all(fd,
+			  STR("GET /resolve?name=h.example&region=ra&zone=z0 "
+			      "HTTP/1.1\r\nHost: d\r\n\r\n")))
 		receive_response(fd, tmr_now() + NS_PER_S, "addresses", &res);
 	if (res.complete && res.rsp.status == 200) {
 		parse_addresses(c, strbuf_view(&res.body));
@@ -296,23 +207,14 @@
 	if (!c->address_count)
 		return false;
 	str_copy(c->vm, sizeof(c->vm),
-		 str_from(c->addresses[random_below(c, c->address_count)]));
-	c->fd = connect_to(c->vm, soak.port);
+		 str_from(c->addresses[smsg_random(&c->random,
+						   c->address_count)]));
+	c->fd = smsg_connect(c->vm, soak.port);
 	return c->fd >= 0;
 }
 
-static void make_body(const struct request_record *r, struct strbuf *out)
-{
-	size_t len = r->kind == REQUEST_UPLOAD ? UPLOAD_BYTES
-					       : UNSAFE_BODY_BYTES;
-
-	strbuf_reset(out);
-	while (r->kind != REQUEST_SAFE && out->len < len)
-		strbuf_addf(out, "%s ", r->id);
-}
-
 static enum outcome check_response(const struct request_record *r,
-				   const struct response *res, struct str body)
+				   const struct response *res)
 {
 	struct str own = strbuf_view(&res->body);
 
@@ -333,40 +235,154 @@
 		report_violation(r->id, "response to another request");
 	if (!rsp_get(&res->rsp, STR("response-signature")).len)
 		report_violation(r->id, "success without a signature");
-	if (!str_eq(own, body.len ? body : STR("ok")))
+	if (!smsg_is_response(str_from(r->id), own))
 		report_violation(r->id, "unexpected body of %zu bytes",
 				 own.len);
 	return OUTCOME_SERVED;
 }
 
-static void send_request(struct caller *c, struct request_record *r)
+/* Requests that are sent together on a connection. */
+struct batch {
+	struct request_record requests[MAX_PIPELINED];
+	size_t count;
+	/* Requests whose responses are complete. */
+	size_t done;
+	struct strbuf out;
+	size_t sent;
+	/* Where a pause follows, in ascending order; the last one is the end.
+	 */
+	size_t pieces[MAX_PIECES];
+	size_t piece_count;
+	bool cut;
+	/* The connection cannot be used again. */
+	bool last;
+};
+
+static void fill_batch(struct caller *c, struct batch *b)
 {
-	struct strbuf head, body;
-	struct response res;
-	bool keep;
+	bool quiet = tmr_now() > soak.quiet_start_ns;
+	size_t i, last_start = 0, end;
+
+	memset(b, 0, sizeof(*b));
+	strbuf_init(&b->out);
+	b->count = 1;
+	b->cut = !smsg_random(&c->random, BATCHES_PER_CUT);
+	if (!smsg_random(&c->random, BATCHES_PER_PIPELINE))
+		b->count = 2 + smsg_random(&c->random, MAX_PIPELINED - 1);
+	for (i = 0; i < b->count; i++) {
+		struct request_record *r = &b->requests[i];
+		struct sreq sent;
+
+		sreq_id(r->id, soak.seed, (uint64_t)c->number, c->sent++);
+		if (!sreq_from_id(&sent, str_from(r->id)))
+			abort();
+		r->kind = sent.kind;
+		/* A batch that is broken off awaits no response. */
+		r->quiet = quiet && !b->cut;
+		r->outcome = OUTCOME_UNKNOWN;
+		last_start = b->out.len;
+		smsg_add_request(&c->random, &sent, &b->out);
+	}
+	end = b->out.len;
+	if (b->cut) {
+		end = last_start + smsg_random(&c->random, end - last_start);
+		b->requests[b->count - 1].cut = true;
+	}
+	b->last = b->cut || !smsg_random(&c->random, BATCHES_PER_CLOSE);
+	if (smsg_random(&c->random, 2))
+		b->piece_count = smsg_random(&c->random, MAX_PIECES);
+	for (i = 0; i < b->piece_count; i++) {
+		size_t from = i ? b->pieces[i - 1] : 0;
 
-	strbuf_init(&head);
-	strbuf_init(&body);
-	response_init(&res);
-	make_body(r, &body);
-	strbuf_addf(&head,
-		    "%s /%s/x HTTP/1.1\r\nHost: h.example\r\n"
-		    "Request-Id: %s\r\nDeadline-Ms: %d\r\n"
-		    "Content-Length: %zu\r\n\r\n",
-		    r->kind == REQUEST_SAFE ? "GET" : "POST",
-		    kind_names[r->kind], r->id, DEADLINE_MS, body.len);
-	if (send_all(c->fd, strbuf_view(&head)) &&
-	    send_all(c->fd, strbuf_view(&body)))
-		receive_response(c->fd,
-				 tmr_now() + RESPONSE_TIMEOUT_MS * NS_PER_MS,
-				 r->id, &res);
-	r->outcome = check_response(r, &res, strbuf_view(&body));
-	keep = res.complete && res.rsp.keep_alive && !res.trailing_bytes;
-	if (!keep)
-		close_connection(c);
-	response_free(&res);
-	strbuf_free(&body);
-	strbuf_free(&head);
+		b->pieces[i] = from + smsg_random(&c->random, end - from + 1);
+	}
+	b->pieces[b->piece_count++] = end;
+}
+
+/* Sends what the connection takes; false if it is broken. */
+static bool send_some(struct caller *c, struct batch *b, int64_t *pause_end_ns)
+{
+	size_t i = 0;
+	ssize_t n;
+
+	while (i + 1 < b->piece_count && b->pieces[i] <= b->sent)
+		i++;
+	n = send(c->fd, b->out.ptr + b->sent, b->pieces[i] - b->sent,
+		 MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (n < 0)
+		return errno == EAGAIN;
+	b->sent += (size_t)n;
+	if (b->sent == b->pieces[i] && i + 1 < b->piece_count)
+		*pause_end_ns =
+			tmr_now() +
+			(int64_t)smsg_random(&c->random,
+					     MAX_PIECE_PAUSE_MS * NS_PER_MS);
+	return true;
+}
+
+/* Takes the complete responses; false if the connection ends with one. */
+static bool take_responses(struct batch *b, struct response *res)
+{
+	while (b->done < b->count && res->bytes.len) {
+		struct request_record *r = &b->requests[b->done];
+		const char *fault = response_parse(res);
+		size_t trailing;
+		bool keep;
+
+		if (fault)
+			report_violation(r->id, "invalid response: %s", fault);
+		if (fault || !res->complete)
+			return !fault;
+		trailing = res->trailing_bytes;
+		keep = res->rsp.keep_alive;
+		if (keep && b->done + 1 < b->count)
+			res->trailing_bytes = 0;
+		r->outcome = check_response(r, res);
+		keep &= !res->trailing_bytes;
+		b->done++;
+		response_next(res, trailing);
+		if (!keep)
+			return false;
+	}
+	return true;
+}
+
+/* Sends and receives until all is done, the connection ends or time is up. */
+static bool exchange(struct caller *c, struct batch *b, struct response *res)
+{
+	size_t end = b->pieces[b->piece_count - 1];
+	int64_t until_ns = tmr_now() + RESPONSE_TIMEOUT_MS * NS_PER_MS;
+	int64_t pause_end_ns = 0;
+
+	while (b->sent < end || (!b->cut && b->done < b->count)) {
+		int64_t now_ns = tmr_now();
+		bool sends = b->sent < end && now_ns >= pause_end_ns;
+		struct pollfd p = {
+			.fd = c->fd,
+			.events = (short)(POLLIN | (sends ? POLLOUT : 0))};
+		char bytes[16384];
+		size_t done = b->done;
+		ssize_t n;
+
+		if (now_ns >= until_ns ||
+		    poll(&p, 1, b->sent < end && !sends ? 1 : 100) < 0)
+			return false;
+		if ((p.revents & POLLOUT) && !send_some(c, b, &pause_end_ns))
+			return false;
+		if (!(p.revents & (POLLIN | POLLHUP | POLLERR)))
+			continue;
+		n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (n < 0 && errno == EAGAIN)
+			continue;
+		if (n <= 0)
+			return false;
+		strbuf_add(&res->bytes, (struct str){bytes, (size_t)n});
+		if (!take_responses(b, res))
+			return false;
+		if (b->done > done)
+			until_ns = tmr_now() + RESPONSE_TIMEOUT_MS * NS_PER_MS;
+	}
+	return !b->last;
 }
 
 static void *run_caller(void *arg)
@@ -374,42 +390,65 @@
 	struct caller *c = arg;
 
 	while (tmr_now() < soak.end_ns) {
-		struct request_record r = {.runs = 0};
-		void *row;
+		struct response res;
+		struct batch b;
+		size_t i;
 
-		usleep((useconds_t)random_below(c, MAX_PAUSE_US));
+		usleep((useconds_t)smsg_random(&c->random, MAX_PAUSE_US));
 		if (!ensure_connected(c))
 			continue;
-		snprintf(r.id, sizeof(r.id), "s%llu-%d-%llu",
-			 (unsigned long long)soak.seed, c->number,
-			 (unsigned long long)c->sent++);
-		r.kind = (enum request_kind)random_below(c, REQUEST_KINDS);
-		r.quiet = tmr_now() > soak.quiet_start_ns;
-		send_request(c, &r);
-		tab_add(&c->records, &row);
-		*(struct request_record *)row = r;
+		fill_batch(c, &b);
+		response_init(&res);
+		if (!exchange(c, &b, &res))
+			close_connection(c);
+		for (i = 0; i < b.count; i++) {
+			void *row;
+
+			tab_add(&c->records, &row);
+			*(struct request_record *)row = b.requests[i];
+		}
+		response_free(&res);
+		strbuf_free(&b.out);
 	}
 	close_connection(c);
 	return NULL;
 }
 
+static void read_run(struct idx *by_id, struct tab *all, struct str line)
+{
+	bool early = str_starts_with(line, STR("early "));
+	struct request_record *r;
+	struct sreq sent;
+	char text[400];
+
+	str_copy(text, sizeof(text), line);
+	if (str_starts_with(line, STR("violation "))) {
+		report_violation("at a server", "%s", text);
+		return;
+	}
+	if (early)
+		str_split(&line, ' ');
+	r = tab_get(all, idx_get(by_id, str_hash(line)));
+	if (r && str_eq(line, str_from(r->id))) {
+		r->runs++;
+		r->early_runs += early;
+	} else if (!sreq_from_id(&sent, line) || !sent.probe) {
+		report_violation("at a server", "ran what nobody sent: %s",
+				 text);
+	}
+}
+
 static void read_run_file(struct idx *by_id, struct tab *all, const char *path)
 {
-	char line[256];
+	char line[512];
 	FILE *f = fopen(path, "r");
 
 	if (!f) {
 		report_violation(path, "cannot read the recorded runs");
 		return;
 	}
-	while (fgets(line, sizeof(line), f)) {
-		struct str id = str_trim(str_from(line));
-		struct request_record *r =
-			tab_get(all, idx_get(by_id, str_hash(id)));
-
-		if (r)
-			r->runs++;
-	}
+	while (fgets(line, sizeof(line), f))
+		read_run(by_id, all, str_trim(str_from(line)));
 	fclose(f);
 }
 
@@ -437,11 +476,13 @@
 
 static void check_runs(const struct request_record *r)
 {
-	if (r->kind != REQUEST_SAFE && r->runs > 1)
-		report_violation(r->id, "%s ran %u times", kind_names[r->kind],
-				 r->runs);
-	if (r->kind != REQUEST_SAFE && r->outcome == OUTCOME_NOT_RUN && r->runs)
+	if (r->kind != SREQ_SAFE && r->runs > 1)
+		report_violation(r->id, "%s ran %u times",
+				 sreq_kind_names[r->kind], r->runs);
+	if (r->kind != SREQ_SAFE && r->outcome == OUTCOME_NOT_RUN && r->runs)
 		report_violation(r->id, "reported as not run, but ran");
+	if (r->cut && r->runs > r->early_runs)
+		report_violation(r->id, "broken off by its caller, but ran");
 	if (r->outcome == OUTCOME_SERVED && !r->runs)
 		report_violation(r->id, "reported as served, but did not run");
 }
@@ -466,6 +507,7 @@
 			*(struct request_record *)row = *r;
 			idx_put(&by_id, str_hash(str_from(r->id)), h);
 		}
+	soak.lines = 0;
 	read_runs(&by_id, &all);
 	for (i = 0; i < all.len; i++) {
 		const struct request_record *r = tab_at(&all, i);
@@ -549,7 +591,7 @@
 	for (i = 0; i < CALLERS; i++)
 		pthread_join(threads[i], NULL);
 	/* Requests without a response may still run until their deadline. */
-	sleep(DEADLINE_MS / 1000 + 1);
+	sleep(SMSG_DEADLINE_MS / 1000 + 1);
 	check_all(callers);
 	for (i = 0; i < CALLERS; i++)
 		tab_free(&callers[i].records);
