--- a/tests/test_edge_framing.c
+++ b/tests/test_edge_framing.c
@@ -297,7 +297,7 @@
 
 	for (;;) {
 		struct str rest = str_skip(in, at);
-		char *end = rest.len ? memmem(rest.ptr, rest.len, "\r\n", 2)
+		char *end = rest.ptr ? memmem(rest.ptr, rest.len, "\r\n", 2)
 				     : NULL;
 		char *stop = NULL;
 		size_t size;
@@ -669,6 +669,30 @@
 	run_cases(head_cases, COUNT(head_cases));
 }
 
+/* Guards against a connection that a caller keeps open for ever by sending more
+ * after its request was refused. */
+static void test_refused_caller_goes_on(void **state)
+{
+	static const char refused[] = POST("a", CHUNKED) "zz\r\n";
+	int64_t start_ns = tmr_now();
+	int fd, limit_ms = 8000;
+
+	(void)state;
+	sfix_start(&fix, &e, CONF_UPLOAD);
+	fd = sfix_connect_caller(&fix);
+	assert_true(send(fd, refused, sizeof(refused) - 1, MSG_NOSIGNAL) > 0);
+	for (; e.caller_conns.len && limit_ms > 0; limit_ms -= 100) {
+		sfix_run(&fix, 100);
+		cconn_expire(&e);
+		cconn_sweep(&e);
+		send(fd, "0123456789abcdef", 16, MSG_NOSIGNAL);
+	}
+	assert_int_equal(e.caller_conns.len, 0);
+	assert_true(tmr_now() - start_ns > 4 * NS_PER_S);
+	close(fd);
+	sfix_stop(&fix);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -676,6 +700,7 @@
 		cmocka_unit_test(test_fields),
 		cmocka_unit_test(test_ends),
 		cmocka_unit_test(test_heads),
+		cmocka_unit_test(test_refused_caller_goes_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
