Edge: a new process does not owe the responses of the one before it

A server that restarted elsewhere counted as slow while its former process finished its requests, so safe requests were repeated and unsafe ones avoided it.

A row that begins to stand for another process or address now starts with no requests in flight, no idle connections and nothing owed; connections of before count for nothing. The counter is called generation, since it also changes with the address and with a 421, which an incarnation does not. A row is no longer kept by connections of a former process.

Evidence: test_work_of_earlier_incarnation on the code before: "restarted elsewhere: 0 in flight, 0 idle, 4.33 owed". The case of a deleted row in test_change_before_sending now happens without being forced. After: all pass.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -116,6 +116,17 @@
 	return tab_get(&e->servers, *handle);
 }
 
+/* The connections to the former process or address, and what it owes, no longer
+ * count. */
+static void begin_generation(const struct edge *e, struct srv_row *s)
+{
+	s->generation++;
+	s->in_flight = 0;
+	s->idle_connections = 0;
+	s->owed = 0;
+	s->owed_ns = e->ev.now_ns;
+}
+
 /* Resets the health, which was that of the incarnation before a restart. */
 static void reset_health(struct srv_row *s)
 {
@@ -206,10 +217,10 @@
 		if (r->start_time_ms <= s->start_time_ms)
 			s->said_leaving = false;
 		s->discovered_ns = e->ev.now_ns;
-		s->incarnation++;
+		begin_generation(e, s);
 	}
 	if (!added && !is_same_address(&s->addr, &r->addr))
-		s->incarnation++;
+		begin_generation(e, s);
 	state = reported_state(s, r);
 	if (added || s->state != state) {
 		s->version = r->version;
@@ -289,7 +300,7 @@
 void srv_set_replaced(struct edge *e, struct srv_row *s)
 {
 	set_gone(e, s);
-	s->incarnation++;
+	begin_generation(e, s);
 	e->server_removal_pending = true;
 }
 
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -201,9 +201,9 @@
 	int64_t start_time_ms;
 	uint64_t seq;
 	uint64_t version;
-	/* Changes when the row stands for another process or address: what is
-	 * known of a connection or an attempt holds for one value only. */
-	uint32_t incarnation;
+	/* Changes when the row stands for another process or address: a
+	 * connection or an attempt belongs to one value. */
+	uint32_t generation;
 	/* The incarnation that started at leaving_start_ms said in a response
 	 * that it is leaving; see srv_set_leaving(). */
 	bool said_leaving;
@@ -286,8 +286,8 @@
 	/* Connection and backend server of the current attempt. */
 	struct hnd backend_conn;
 	struct hnd server;
-	/* That of the server when it was chosen. */
-	uint32_t server_incarnation;
+	/* Generation of the server when it was chosen. */
+	uint32_t server_generation;
 	enum req_state state;
 	enum conf_request_kind kind;
 	uint64_t service;
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -40,7 +40,7 @@
 {
 	struct srv_row *s = tab_get(&e->servers, c->server);
 
-	return s && s->incarnation == c->server_incarnation ? s : NULL;
+	return s && s->generation == c->server_generation ? s : NULL;
 }
 
 void bconn_response_free(struct bconn_response *resp)
@@ -52,7 +52,7 @@
 static void update_server_counts(struct edge *e, struct bconn_row *c,
 				 int in_flight, int idle)
 {
-	struct srv_row *s = tab_get(&e->servers, c->server);
+	struct srv_row *s = bconn_server(e, c);
 
 	if (!s)
 		return;
@@ -185,7 +185,7 @@
 	c = row;
 	c->fd = fd;
 	c->server = server;
-	c->server_incarnation = s->incarnation;
+	c->server_generation = s->generation;
 	c->state = BCONN_CONNECTING;
 	strbuf_init(&c->out);
 	strbuf_init(&c->in);
--- a/src/edge/edge_backend_connection.h
+++ b/src/edge/edge_backend_connection.h
@@ -21,8 +21,8 @@
 struct bconn_row {
 	int fd;
 	struct hnd server;
-	/* That of the server when the connection was opened. */
-	uint32_t server_incarnation;
+	/* Generation of the server when the connection was opened. */
+	uint32_t server_generation;
 	struct hnd req;
 	enum {
 		BCONN_CONNECTING,
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -40,7 +40,7 @@
 {
 	struct srv_row *s = tab_get(&e->servers, r->server);
 
-	return s && s->incarnation == r->server_incarnation ? s : NULL;
+	return s && s->generation == r->server_generation ? s : NULL;
 }
 
 void req_log(const struct edge *e, const struct req_row *r, const char *event,
@@ -492,7 +492,7 @@
 		return;
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
-	r->server_incarnation = s->incarnation;
+	r->server_generation = s->generation;
 	r->accepted = false;
 	r->trial = pick.trial;
 	if (r->tried_count < EDGE_MAX_TRIED)
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -35,8 +35,8 @@
 void req_connect_failed(struct edge *e, struct hnd req, const char *why);
 /* The method is HEAD, so that the response has no body. */
 bool req_is_head_method(const struct edge *e, struct hnd req);
-/* False for a request without an id: a late copy of an earlier response could
- * not be told from its own on a connection that was used before. */
+/* False for a request without an id, where ids are in use: a late copy of an
+ * earlier response could not be told from its own on a used connection. */
 bool req_may_reuse_connection(const struct edge *e, struct hnd req);
 enum req_match {
 	REQ_MATCH,
--- a/tests/test_edge_server_side.c
+++ b/tests/test_edge_server_side.c
@@ -228,10 +228,8 @@
 	srv_set_replaced(&e, first_server());
 }
 
-/* No known way leads here, as a row in use is kept. */
 static void delete_row(void)
 {
-	first_server()->in_flight = 0;
 	replace();
 	srv_tick(&e, e.ev.now_ns);
 	assert_null(first_server());
@@ -422,6 +420,59 @@
 	}
 }
 
+/* Guards against a new process that counts as slow for the requests that its
+ * predecessor works on: they are no requests in flight, and are not owed. */
+static void test_work_of_earlier_incarnation(void **state)
+{
+	static const struct {
+		const char *name;
+		void (*change)(void);
+		/* The predecessor responds, or closes its connections. */
+		bool responds;
+	} cases[] = {
+		{"restarted elsewhere", restart_elsewhere, true},
+		{"restarted elsewhere, closes", restart_elsewhere, false},
+		{"moved", move, true},
+		{"restarted in place", restart_in_place, true},
+	};
+	int callers[5], k;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct srv_row *s;
+
+		start();
+		for (k = 0; k < 5; k++) {
+			callers[k] = sfix_connect_caller(&fix);
+			send_request(callers[k], "q1");
+		}
+		run(30);
+		assert_int_equal(conn_count, 5);
+		cases[i].change();
+		for (k = 0; k < 5; k++) {
+			run(100);
+			if (cases[i].responds)
+				respond(&conns[k], "200", "", "q1");
+			else
+				shutdown(conns[k].fd, SHUT_RDWR);
+		}
+		run(20);
+		s = first_server();
+		if (s->in_flight || s->idle_connections || s->owed > 0 ||
+		    s->last_completed_ns)
+			fail_msg("%s: %u in flight, %u idle, %.2f owed",
+				 cases[i].name, s->in_flight,
+				 s->idle_connections, s->owed);
+		for (k = 0; k < 5; k++) {
+			check_status(cases[i].name, callers[k],
+				     cases[i].responds ? 200 : 502);
+			close(callers[k]);
+		}
+		stop();
+	}
+}
+
 #define BARE_REFUSAL "HTTP/1.1 503 X\r\n" REFUSED "Content-Length: 3\r\n\r\nold"
 
 static const struct bare_case {
@@ -727,6 +778,7 @@
 		cmocka_unit_test(test_change_while_idle),
 		cmocka_unit_test(test_drain_before_sending),
 		cmocka_unit_test(test_response_of_earlier_incarnation),
+		cmocka_unit_test(test_work_of_earlier_incarnation),
 		cmocka_unit_test(test_response_without_id),
 		cmocka_unit_test(test_request_without_id),
 		cmocka_unit_test(test_reuse_after_response),
