Responses: a server cannot remove its id or signature by naming it in Connection

A caller got a 200 without the id of its request, or without the signature by which it tells a whole response, if the server's Connection field named these fields: they were checked, then removed.

Names to which the platform gives a meaning are now passed on whatever Connection says.

Evidence: test_fields_listed_in_connection on the code before fails in its first case, "Connection: X-Request-Id". After: all pass.

--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -92,7 +92,10 @@
 		(took_ns - svc->mean_latency_ns) / MEAN_WEIGHT_INVERSE;
 }
 
-static void append_end_to_end_fields(const struct bconn_response *resp,
+/* A server must not be able to remove a field to which the platform gives a
+ * meaning by naming it in its Connection field. */
+static void append_end_to_end_fields(const struct edge *e,
+				     const struct bconn_response *resp,
 				     struct strbuf *out)
 {
 	size_t i;
@@ -100,7 +103,8 @@
 	for (i = 0; i < resp->rsp.field_count; i++) {
 		const struct hreq_field *f = &resp->rsp.fields[i];
 
-		if (!rsp_is_hop_by_hop(&resp->rsp, f->name))
+		if (hdr_is_known(e->headers, f->name) ||
+		    !rsp_is_hop_by_hop(&resp->rsp, f->name))
 			strbuf_addf(out, "%.*s: %.*s\r\n", STR_FMT(f->name),
 				    STR_FMT(str_trim(f->value)));
 	}
@@ -154,12 +158,12 @@
 	prog_completed(e, s, 1);
 }
 
-static void save_error_response(struct req_row *r,
+static void save_error_response(const struct edge *e, struct req_row *r,
 				const struct bconn_response *resp)
 {
 	r->fallback_status = resp->rsp.status;
 	strbuf_reset(&r->fallback_fields);
-	append_end_to_end_fields(resp, &r->fallback_fields);
+	append_end_to_end_fields(e, resp, &r->fallback_fields);
 	strbuf_set(&r->fallback_body, strbuf_view(&resp->body));
 }
 
@@ -188,7 +192,7 @@
 	ctr_add(CTR_ANSWERED, 1);
 	ctr_observe(CTR_REQUEST_DURATION, e->ev.now_ns - r->start_ns);
 	strbuf_init(&fields);
-	append_end_to_end_fields(resp, &fields);
+	append_end_to_end_fields(e, resp, &fields);
 	cconn_begin_response(e, caller, resp->rsp.status, resp->rsp.phrase,
 			     strbuf_view(&fields), response_length(r, resp));
 	cconn_send_body(e, caller, strbuf_view(&resp->body));
@@ -221,7 +225,7 @@
 	}
 	if (resp->rsp.status / 100 == 5) {
 		req_report_outcome(e, r, HLTH_ERROR);
-		save_error_response(r, resp);
+		save_error_response(e, r, resp);
 		if (retry(e, h, "backend server error"))
 			return;
 		r = req_get(e, h);
@@ -250,7 +254,7 @@
 	}
 	req_log(e, r, "answer", "streamed", resp->rsp.status);
 	strbuf_init(&fields);
-	append_end_to_end_fields(resp, &fields);
+	append_end_to_end_fields(e, resp, &fields);
 	cconn_begin_response(e, r->caller, resp->rsp.status, resp->rsp.phrase,
 			     strbuf_view(&fields), resp->rsp.length);
 	strbuf_free(&fields);
--- a/tests/test_edge_server_side.c
+++ b/tests/test_edge_server_side.c
@@ -473,6 +473,50 @@
 	}
 }
 
+/* Guards against a response without the fields by which its caller tells that
+ * it is whole and its own: the server names them in Connection. */
+static void test_fields_listed_in_connection(void **state)
+{
+	static const struct {
+		const char *fields;
+		const char *expected;
+		bool passed;
+	} cases[] = {
+		{"Connection: X-Request-Id\r\n", "X-Request-Id: q1\r\n", true},
+		{"Connection: x-signature, close\r\nX-Signature: s\r\n",
+		 "X-Signature: s\r\n", true},
+		{"Connection: foo\r\nFoo: 1\r\n", "Foo: 1\r\n", false},
+	};
+	struct hdr_names names = hdr_default_names;
+	size_t i;
+
+	(void)state;
+	names.response_signature = STR("X-Signature");
+	for (i = 0; i < COUNT(cases); i++) {
+		struct strbuf in;
+		int caller;
+
+		start();
+		if (i == 1)
+			e.headers = &names;
+		strbuf_init(&in);
+		caller = sfix_connect_caller(&fix);
+		send_request(caller, "q1");
+		run(30);
+		respond(find_used(), "200", cases[i].fields, "q1");
+		run(20);
+		sfix_receive(caller, &in);
+		if (!str_starts_with(strbuf_view(&in), STR("HTTP/1.1 200")) ||
+		    !!memmem(in.ptr, in.len, cases[i].expected,
+			     strlen(cases[i].expected)) != cases[i].passed)
+			fail_msg("%s: %.*s", cases[i].fields, (int)in.len,
+				 in.ptr);
+		strbuf_free(&in);
+		close(caller);
+		stop();
+	}
+}
+
 #define BARE_REFUSAL "HTTP/1.1 503 X\r\n" REFUSED "Content-Length: 3\r\n\r\nold"
 
 static const struct bare_case {
@@ -779,6 +823,7 @@
 		cmocka_unit_test(test_drain_before_sending),
 		cmocka_unit_test(test_response_of_earlier_incarnation),
 		cmocka_unit_test(test_work_of_earlier_incarnation),
+		cmocka_unit_test(test_fields_listed_in_connection),
 		cmocka_unit_test(test_response_without_id),
 		cmocka_unit_test(test_request_without_id),
 		cmocka_unit_test(test_reuse_after_response),
