--- a/src/edge/edge_config.c
+++ b/src/edge/edge_config.c
@@ -2,6 +2,7 @@
 
 #include <ctype.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "request_path.h"
 
@@ -32,6 +33,8 @@
 		abort();
 	arn_init(&c->arena);
 	idx_init(&c->by_host_prefix);
+	idx_init(&c->team_key_by_hash);
+	idx_init(&c->team_by_key);
 	c->limits = (struct conf_limits){
 		.max_head_bytes = DEFAULT_HEAD_BYTES,
 		.max_body_bytes = DEFAULT_BODY_BYTES,
@@ -46,6 +49,10 @@
 	if (!c)
 		return;
 	idx_free(&c->by_host_prefix);
+	idx_free(&c->team_key_by_hash);
+	idx_free(&c->team_by_key);
+	free(c->teams);
+	free(c->team_keys);
 	free(c->routes);
 	free(c->dests);
 	free(c->services);
@@ -66,11 +73,17 @@
 		[CONF_SAFE] = "safe",
 		[CONF_UNSAFE] = "unsafe",
 		[CONF_UPLOAD] = "upload",
+		[CONF_DOWNLOAD] = "download",
 	};
 
 	return names[kind];
 }
 
+bool conf_is_repeatable(enum conf_request_kind kind)
+{
+	return kind == CONF_SAFE || kind == CONF_DOWNLOAD;
+}
+
 void conf_add_service(struct conf *c, const struct conf_service *service)
 {
 	struct conf_service *s;
@@ -122,6 +135,47 @@
 		(struct hnd){c->route_count, 1});
 }
 
+uint32_t conf_add_team(struct conf *c, const struct conf_team *team)
+{
+	struct conf_team *t;
+
+	c->teams = grow(c->teams, c->team_count, &c->team_cap, sizeof(*t));
+	t = &c->teams[c->team_count++];
+	*t = *team;
+	t->name = arn_strdup(&c->arena, team->name);
+	t->key = str_hash(t->name);
+	if (!t->key)
+		t->key = 1;
+	c->has_teams = true;
+	idx_put(&c->team_by_key, t->key, (struct hnd){c->team_count, 1});
+	return c->team_count - 1;
+}
+
+/* Key of a hash in conf.team_key_by_hash; never 0. */
+static uint64_t hash_prefix(const uint8_t hash[CONF_KEY_HASH_BYTES])
+{
+	uint64_t prefix;
+
+	memcpy(&prefix, hash, sizeof(prefix));
+	return prefix ? prefix : 1;
+}
+
+void conf_add_team_key(struct conf *c, const struct conf_team_key *key)
+{
+	c->team_keys = grow(c->team_keys, c->team_key_count, &c->team_key_cap,
+			    sizeof(*c->team_keys));
+	c->team_keys[c->team_key_count++] = *key;
+	idx_put(&c->team_key_by_hash, hash_prefix(key->hash),
+		(struct hnd){c->team_key_count, 1});
+}
+
+const struct conf_team *conf_find_team(const struct conf *c, uint64_t key)
+{
+	struct hnd h = idx_get(&c->team_by_key, key);
+
+	return h.slot ? &c->teams[h.slot - 1] : NULL;
+}
+
 const struct conf_route *conf_match_route(const struct conf *c, struct str host,
 					  struct str path)
 {
--- a/src/edge/edge_config.h
+++ b/src/edge/edge_config.h
@@ -17,10 +17,37 @@
 	CONF_UNSAFE,
 	/* As CONF_UNSAFE, with a large body. */
 	CONF_UPLOAD,
+	/* As CONF_SAFE, with a large response. */
+	CONF_DOWNLOAD,
+	CONF_LAST_KIND = CONF_DOWNLOAD,
 };
 
-/* Returns "safe", "unsafe" or "upload". */
+/* Returns "safe", "unsafe", "upload" or "download". */
 const char *conf_request_kind_name(enum conf_request_kind kind);
+/* True for an idempotent kind. */
+bool conf_is_repeatable(enum conf_request_kind kind);
+
+/* Bytes of the hash that stands for a key. */
+#define CONF_KEY_HASH_BYTES 32
+
+/* A team, with its limit over all VMs together. */
+struct conf_team {
+	struct str name;
+	/* Hash of the name, never 0. */
+	uint64_t key;
+	/* 0 is the highest; goes before that of the route. */
+	uint32_t priority;
+	/* Requests per second; 0 for no limit. */
+	uint32_t rate_per_s;
+	uint32_t burst;
+};
+
+/* A key by which callers identify their team. */
+struct conf_team_key {
+	uint8_t hash[CONF_KEY_HASH_BYTES];
+	/* Index of the team. */
+	uint32_t team;
+};
 
 /* Destination of a route, with its weight; a route without a traffic split has
  * one destination. */
@@ -45,6 +72,8 @@
 	uint32_t max_attempts;
 	/* 0 is the highest. */
 	uint32_t priority;
+	/* Needs no key of a team. */
+	bool is_public;
 };
 
 struct conf_service {
@@ -79,6 +108,16 @@
 	uint32_t service_count, service_cap;
 	/* Index of the route plus 1, by hash of host and prefix. */
 	struct idx by_host_prefix;
+	/* Callers need a key of a team, except on public routes. */
+	bool has_teams;
+	struct conf_team *teams;
+	uint32_t team_count, team_cap;
+	struct conf_team_key *team_keys;
+	uint32_t team_key_count, team_key_cap;
+	/* Index of the key plus 1, by the first bytes of its hash. */
+	struct idx team_key_by_hash;
+	/* Index of the team plus 1, by conf_team.key. */
+	struct idx team_by_key;
 };
 
 struct conf *conf_new(void);
@@ -90,6 +129,12 @@
 /* Adds a route with its destinations; copies the strings. */
 void conf_add_route(struct conf *c, const struct conf_route *route,
 		    const struct conf_dest *dests, uint32_t dest_count);
+/* Adds a team, which has no keys yet; copies the strings. Returns its index. */
+uint32_t conf_add_team(struct conf *c, const struct conf_team *team);
+/* Adds a key of a team by its hash. */
+void conf_add_team_key(struct conf *c, const struct conf_team_key *key);
+/* Team with that key; NULL for none. */
+const struct conf_team *conf_find_team(const struct conf *c, uint64_t key);
 /*
  * Returns the route of the host with the longest prefix of the path; NULL if
  * none matches. The host may include a port, and the path a query.
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -132,7 +132,7 @@
 	r.name = mpk_get_str(in, MAX_NAME_BYTES);
 	r.host = mpk_get_str(in, MAX_NAME_BYTES);
 	r.prefix = mpk_get_str(in, MAX_NAME_BYTES);
-	r.kind = (enum conf_request_kind)mpk_get_uint(in, 0, CONF_UPLOAD);
+	r.kind = (enum conf_request_kind)mpk_get_uint(in, 0, CONF_LAST_KIND);
 	r.timeout_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
 	r.objective_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
 	r.max_attempts = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
