Trials: by capacity and by the rank of the VM

Change: trial_policy decides without a network when a server gets a trial. While the servers in use have room, unsafe requests test ejected ones after 3.4 and 6.8 s instead of each 1.7 s; VMs take turns by a hash of server and VM; servers that were never used get a first request; downloads are idempotent.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -67,8 +67,10 @@
 	int64_t bucket_start_ns;
 	/* Retries since the last report to the peers. */
 	uint32_t unreported_retries;
-	/* Time of this VM's last safe request (CONF_SAFE); 0 for none. */
-	int64_t last_safe_ns;
+	/* Requests that may be repeated, of this VM: decaying count as of
+	 * safe_count_ns. */
+	double safe_count;
+	int64_t safe_count_ns;
 	/* Moving average of the time to a complete response. */
 	int64_t mean_latency_ns;
 };
--- a/src/edge/edge_load_balancing.c
+++ b/src/edge/edge_load_balancing.c
@@ -89,7 +89,7 @@
  */
 static int64_t unproven_cost(const struct choice *ch, const struct srv_row *s)
 {
-	bool safe = ch->req->kind == CONF_SAFE;
+	bool safe = conf_is_repeatable(ch->req->kind) && !ch->req->sends;
 	int64_t last = safe ? s->last_accepted_ns : s->last_completed_ns;
 	int64_t age = ch->e->ev.now_ns - last;
 
@@ -122,7 +122,7 @@
 		c += OVERLOAD_COST;
 	if (hlth_path_is_down(ch->e, s))
 		c += PATH_DOWN_COST;
-	else if (s->path_failures && ch->req->kind != CONF_SAFE)
+	else if (s->path_failures && !conf_is_repeatable(ch->req->kind))
 		c += SUSPECT_COST;
 	if (prog_is_suspect(ch->e, s, ch->mean_latency_ns))
 		c += SUSPECT_COST;
@@ -204,18 +204,17 @@
 	struct svc_row *svc = edge_service(ch->e, ch->req->service);
 	struct srv_row *s, *found = NULL;
 	struct hnd best = HND_NONE, h;
-	bool low_failure_rate;
+	struct trial_service known;
 
 	if (ch->req->sends || ch->req->max_attempts < 2)
 		return HND_NONE;
-	low_failure_rate = bud_low_failure_rate(ch->e, svc);
+	known = hlth_trial_service(ch->e, svc);
 	for (s = srv_first(ch->e, ch->req->service, &h); s;
 	     s = srv_next(ch->e, s, &h)) {
 		if (s->state != SRV_READY || s->region != ch->e->region ||
 		    srv_is_paused(ch->e, s) || was_tried(ch->req, s->key) ||
 		    hlth_path_is_down(ch->e, s) ||
-		    !hlth_trial_due(ch->e, s, ch->req->kind,
-				    low_failure_rate) ||
+		    !hlth_trial_due(ch->e, s, ch->req->kind, &known) ||
 		    (!s->ejected && load_permille(ch->e, s) >= 1000))
 			continue;
 		if (found && s->next_trial_ns >= found->next_trial_ns)
@@ -225,8 +224,8 @@
 	}
 	/* A failed trial costs a retry, and requests that fail otherwise need
 	 * the retry budget more. */
-	if (found && ch->req->kind == CONF_SAFE &&
-	    (low_failure_rate || !hlth_trial_overdue(ch->e, found)) &&
+	if (found && conf_is_repeatable(ch->req->kind) &&
+	    (known.low_failure_rate || !hlth_trial_overdue(ch->e, found)) &&
 	    !bud_allows_trial(ch->e, svc))
 		return HND_NONE;
 	return best;
--- a/src/edge/edge_outlier_detection.c
+++ b/src/edge/edge_outlier_detection.c
@@ -3,9 +3,11 @@
 #include <math.h>
 
 #include "backend_progress.h"
+#include "backend_server.h"
 #include "edge_retry_budget.h"
 #include "metrics.h"
 #include "logs.h"
+#include "edge_membership.h"
 #include "edge_messages.h"
 
 /* Score at which a server is ejected. */
@@ -20,23 +22,14 @@
 #define REINSTATE_SUCCESSES 3
 /* The same while many requests fail, as capacity is scarce then. */
 #define REINSTATE_SUCCESSES_SCARCE 2
-/* Interval between trials with safe requests; the jitter, added to it at
- * random, keeps VMs from sending trials at the same moment. */
+/* Shortest time between two trials, see trial_policy.h; the jitter, added to it
+ * at random, keeps VMs from sending trials at the same moment. */
 #define TRIAL_INTERVAL_NS (800 * NS_PER_MS)
 #define TRIAL_JITTER_NS (300 * NS_PER_MS)
-/* Interval between trials with unsafe requests. */
-#define UNSAFE_TRIAL_INTERVAL_NS (1700 * NS_PER_MS)
-/* The interval between trials with safe requests doubles with each failed
- * trial, at most this often. At 3.2 s, most ejected servers still get a request
- * in any period of two seconds. */
-#define MAX_TRIAL_DOUBLINGS 2
 /* Failures closer together than this count as one failed trial. */
 #define SAME_TRIAL_NS (300 * NS_PER_MS)
-/* A server in use that was idle for this long gets a trial: capacity that is
- * unused for two seconds counts as taken out of service. */
-#define IDLE_TRIAL_NS (1400 * NS_PER_MS)
-/* A service counts as having safe requests for this long after its last one. */
-#define SAFE_TRAFFIC_NS (10 * NS_PER_S)
+/* Time constant of the rate of requests that may be repeated. */
+#define SAFE_RATE_NS (5 * NS_PER_S)
 /* Time for which a VM avoids a server that it does not reach; it doubles with
  * each further failure, at most that often. */
 #define PATH_DOWN_NS (2 * NS_PER_S)
@@ -241,68 +234,116 @@
 		e->ev.now_ns - s->ejected_ns < REMOTE_EJECTION_NS);
 }
 
-/* True when the service has safe requests. They reach idle servers by load
- * balancing and ejected ones as trials, so other requests need not do so,
- * unless many requests fail: then the trials of ejected servers take most of
- * the safe ones. */
-static bool has_safe_traffic(const struct edge *e, const struct srv_row *s)
+/* Requests a second of this VM that may be repeated. */
+static double safe_rate(const struct edge *e, const struct svc_row *svc)
 {
-	const struct svc_row *svc = edge_service((struct edge *)e, s->service);
+	return svc->safe_count *
+	       exp(-(double)(e->ev.now_ns - svc->safe_count_ns) /
+		   (double)SAFE_RATE_NS) *
+	       (double)NS_PER_S / (double)SAFE_RATE_NS;
+}
 
-	return svc->last_safe_ns &&
-	       e->ev.now_ns - svc->last_safe_ns < SAFE_TRAFFIC_NS;
+void hlth_count_safe_request(struct edge *e, struct svc_row *svc)
+{
+	svc->safe_count =
+		safe_rate(e, svc) * (double)SAFE_RATE_NS / (double)NS_PER_S + 1;
+	svc->safe_count_ns = e->ev.now_ns;
 }
 
-/* Time from the last trial of an ejected server to the next. It grows, since a
- * server that failed its trials will probably fail the next one as well, which
- * costs a retry. It does not grow while many requests fail, as capacity is then
- * worth more than the retry, nor for unsafe requests: a service without safe
- * ones may be short of capacity before the counts of the peers show it. */
-static int64_t trial_interval(const struct srv_row *s,
-			      enum conf_request_kind kind,
-			      bool low_failure_rate)
+static uint32_t count_region_vms(const struct edge *e)
 {
-	if (kind != CONF_SAFE)
-		return UNSAFE_TRIAL_INTERVAL_NS;
-	if (!low_failure_rate)
-		return TRIAL_INTERVAL_NS;
-	return TRIAL_INTERVAL_NS << (s->trial_failures < MAX_TRIAL_DOUBLINGS
-					     ? s->trial_failures
-					     : MAX_TRIAL_DOUBLINGS);
+	uint32_t i, count = 0;
+
+	for (i = 0; i < e->vms.len; i++) {
+		const struct vm_row *vm = tab_at(&e->vms, i);
+
+		count += vm->region == e->region && vm_is_alive(e, vm);
+	}
+	return count;
 }
 
-bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
-		    enum conf_request_kind kind, bool low_failure_rate)
+struct trial_service hlth_trial_service(struct edge *e, struct svc_row *svc)
+{
+	uint32_t in_flight = 0, slots = 0, servers = 0;
+	const struct srv_row *s;
+	struct hnd h;
+
+	for (s = srv_first(e, svc->key, &h); s; s = srv_next(e, s, &h)) {
+		if (s->state != SRV_READY || s->region != e->region)
+			continue;
+		servers++;
+		if (s->ejected || srv_is_paused(e, s))
+			continue;
+		in_flight += s->in_flight + s->peers_in_flight;
+		slots += s->slots;
+	}
+	return (struct trial_service){
+		.safe_covers = trial_safe_covers(
+			safe_rate(e, svc) * count_region_vms(e), servers),
+		.low_failure_rate = bud_low_failure_rate(e, svc),
+		.capacity_ample = trial_capacity_is_ample(in_flight, slots),
+	};
+}
+
+/* Mixes the keys of a server and a VM (splitmix64). */
+static uint64_t assignment_weight(uint64_t server, uint64_t vm)
+{
+	uint64_t x = server ^ (vm * UINT64_C(0x9e3779b97f4a7c15));
+
+	x = (x ^ (x >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	x = (x ^ (x >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return x ^ (x >> 31);
+}
+
+/* Rank of this VM by its weight for the server, among the VMs of the region
+ * that serve callers. */
+static uint32_t trial_rank(const struct edge *e, const struct srv_row *s)
+{
+	uint64_t own = assignment_weight(s->key, e->self);
+	uint32_t i, rank = 0;
+
+	for (i = 0; i < e->vms.len; i++) {
+		const struct vm_row *vm = tab_at(&e->vms, i);
+
+		if (vm->key != e->self && vm->region == e->region &&
+		    vm->ready && vm->state == VM_ACTIVE && vm_is_alive(e, vm) &&
+		    assignment_weight(s->key, vm->key) > own)
+			rank++;
+	}
+	return rank;
+}
+
+static struct trial_server make_trial_server(const struct edge *e,
+					     const struct srv_row *s)
 {
 	int64_t now = e->ev.now_ns;
 
-	if (now < s->next_trial_ns)
+	return (struct trial_server){
+		.ejected = s->ejected,
+		.since_trial_ns = now - s->last_trial_ns,
+		.successes = s->trial_successes,
+		.failures = s->trial_failures,
+		.used = s->last_accepted_ns != 0,
+		.since_accepted_ns = now - s->last_accepted_ns,
+		.rank = trial_rank(e, s),
+		.is_new = s->discovered_ns - e->start_ns > STARTUP_NS,
+		.since_discovered_ns = now - s->discovered_ns,
+	};
+}
+
+bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
+		    enum conf_request_kind kind,
+		    const struct trial_service *svc)
+{
+	struct trial_server t;
+
+	if (e->ev.now_ns < s->next_trial_ns)
 		return false;
-	/* An unsafe request is a trial of an ejected server only if the service
-	 * has no safe requests, an upload never. */
-	if (s->ejected && kind != CONF_SAFE)
-		return kind == CONF_UNSAFE && !has_safe_traffic(e, s) &&
-		       now - s->last_trial_ns >
-			       trial_interval(s, kind, low_failure_rate);
-	if (s->ejected)
-		return s->trial_successes ||
-		       now - s->last_trial_ns >
-			       trial_interval(s, kind, low_failure_rate);
-	if (s->last_accepted_ns)
-		return now - s->last_accepted_ns > IDLE_TRIAL_NS &&
-		       (!low_failure_rate || !has_safe_traffic(e, s));
-	/* No VM is known to have used the server yet. */
-	if (kind == CONF_SAFE)
-		return true;
-	/* A new server gets a first request even if the service has no safe
-	 * ones. */
-	return kind == CONF_UNSAFE &&
-	       s->discovered_ns - e->start_ns > STARTUP_NS &&
-	       now - s->discovered_ns > UNSAFE_TRIAL_INTERVAL_NS;
+	t = make_trial_server(e, s);
+	return trial_is_due(&t, svc, kind);
 }
 
 bool hlth_trial_overdue(const struct edge *e, const struct srv_row *s)
 {
-	return s->ejected &&
-	       e->ev.now_ns - s->last_trial_ns > UNSAFE_TRIAL_INTERVAL_NS;
+	return s->ejected && trial_is_overdue(e->ev.now_ns - s->last_trial_ns);
 }
--- a/src/edge/edge_outlier_detection.h
+++ b/src/edge/edge_outlier_detection.h
@@ -2,6 +2,7 @@
 #define EDGE_OUTLIER_DETECTION_H
 
 #include "edge.h"
+#include "trial_policy.h"
 
 /*
  * Passive outlier detection for backend servers, from the outcomes of callers'
@@ -49,12 +50,15 @@
 /* Records that the server accepted a request at that time, which ends its idle
  * time. */
 void hlth_record_accepted(struct srv_row *s, int64_t at_ns);
-/* True when a request of that kind should be sent to the server as a trial:
- * the server is ejected, or no VM is known to have used it recently. While the
- * service's failure rate is low (bud_low_failure_rate()), the interval between
- * trials grows with each failed one. */
+/* Counts a request that may be repeated. */
+void hlth_count_safe_request(struct edge *e, struct svc_row *svc);
+/* What this VM knows of a service that decides on trials of its servers. */
+struct trial_service hlth_trial_service(struct edge *e, struct svc_row *svc);
+/* True when a request of that kind should be sent to the server as a trial; see
+ * trial_is_due(). */
 bool hlth_trial_due(const struct edge *e, const struct srv_row *s,
-		    enum conf_request_kind kind, bool low_failure_rate);
+		    enum conf_request_kind kind,
+		    const struct trial_service *svc);
 /* True when an ejected server has waited so long for a trial that it gets one
  * even if the retry budget may not cover the retry of a failure. */
 bool hlth_trial_overdue(const struct edge *e, const struct srv_row *s);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -228,8 +228,8 @@
 	struct svc_row *svc = edge_service(e, r->service);
 
 	bud_count_request(e, svc);
-	if (r->kind == CONF_SAFE)
-		svc->last_safe_ns = e->ev.now_ns;
+	if (conf_is_repeatable(r->kind))
+		hlth_count_safe_request(e, svc);
 }
 
 static int no_route_status(enum chk_route found)
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -21,7 +21,7 @@
 
 	if (r->streaming || r->sends >= r->max_attempts)
 		return false;
-	if (r->may_have_run && r->kind != CONF_SAFE)
+	if (r->may_have_run && !conf_is_repeatable(r->kind))
 		return false;
 	if (!bud_take(e, edge_service(e, r->service))) {
 		req_log(e, r, "no_budget", why, 0);
--- a/src/edge/request_timeout.c
+++ b/src/edge/request_timeout.c
@@ -18,7 +18,7 @@
 	return (struct stall_attempt){
 		.age_ns = e->ev.now_ns - r->sent_ns,
 		.mean_latency_ns = req_mean_latency_ns(e, r),
-		.repeatable = r->kind == CONF_SAFE,
+		.repeatable = conf_is_repeatable(r->kind),
 		.trial = r->trial,
 	};
 }
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -152,6 +152,7 @@
 	(void)state;
 	for (i = 0; i < COUNT(cases); i++) {
 		struct req_row r = fix_request(cases[i].kind);
+		struct trial_service known;
 		struct svc_row *svc;
 		struct srv_row *faulty;
 		bool due;
@@ -168,13 +169,14 @@
 		}
 		fix_advance(&e, cases[i].elapsed_ms * NS_PER_MS);
 		svc = edge_service(&e, r.service);
-		svc->last_safe_ns = cases[i].safe_traffic ? e.ev.now_ns : 0;
+		for (k = 0; cases[i].safe_traffic && k < 100; k++)
+			hlth_count_safe_request(&e, svc);
 		for (k = 0; k < 100; k++)
 			bud_count_request(&e, svc);
 		for (k = 0; k < cases[i].failures; k++)
 			bud_count_failure(&e, svc);
-		due = hlth_trial_due(&e, faulty, r.kind,
-				     bud_low_failure_rate(&e, svc));
+		known = hlth_trial_service(&e, svc);
+		due = hlth_trial_due(&e, faulty, r.kind, &known);
 		if (due != cases[i].due)
 			fail_msg("%s: due %d", cases[i].name, due);
 		fix_free(&e);
@@ -226,6 +228,7 @@
 		struct svc_row *svc;
 		struct srv_row *s;
 		struct pick p;
+		int k;
 
 		fix_init(&e);
 		e.start_ns = e.ev.now_ns - 60 * NS_PER_S;
@@ -236,8 +239,8 @@
 		fix_advance(&e, cases[i].age_ms * NS_PER_MS);
 		server_at(0)->last_accepted_ns = e.ev.now_ns;
 		svc = edge_service(&e, r.service);
-		if (cases[i].safe_traffic)
-			svc->last_safe_ns = e.ev.now_ns;
+		for (k = 0; cases[i].safe_traffic && k < 100; k++)
+			hlth_count_safe_request(&e, svc);
 		bud_count_request(&e, svc);
 		if (cases[i].failures)
 			bud_count_failure(&e, svc);
