Store: compare versions together with the era of the store

The store may return from a copy some seconds old: versions go back and are given out again. Versions of rows and of configurations now count within an era, which messages, states and fetches carry.

--- a/src/edge/backend_server.c
+++ b/src/edge/backend_server.c
@@ -9,6 +9,12 @@
  * row is gone, as its row may come back. */
 #define LEAVING_MEMORY_NS (60 * NS_PER_S)
 
+/* Time for which a server that is gone is remembered where the store names its
+ * era: the store may return from a copy, some seconds old, that still lists it.
+ * If the copy's row stays longer than its server lives without a heartbeat, the
+ * server is alive. */
+#define GONE_MEMORY_NS (30 * NS_PER_S)
+
 bool srv_is_valid_id(struct str id)
 {
 	size_t i;
@@ -192,6 +198,26 @@
 	return SRV_READY;
 }
 
+/* True for a row of an older copy of the store, as far as its contents tell: by
+ * the incarnation, then by the sequence. A server that has left wrote nothing
+ * after its last row. */
+static bool is_of_older_copy(const struct edge *e, const struct srv_row *s,
+			     const struct srv_report *r)
+{
+	if (e->sync.era == ERA_NONE || s->version)
+		return false;
+	if (r->start_time_ms != s->start_time_ms)
+		return r->start_time_ms < s->start_time_ms;
+	return s->state == SRV_GONE ? r->seq <= s->seq : r->seq < s->seq;
+}
+
+/* What the server said since holds until its row is written again. */
+static void keep_newer_row(struct srv_row *s, const struct srv_report *r)
+{
+	s->missing = false;
+	s->listed_by_copy = s->state == SRV_GONE && !r->draining;
+}
+
 static bool is_same_address(const struct sockaddr_in *a,
 			    const struct sockaddr_in *b)
 {
@@ -209,6 +235,10 @@
 		s->read_generation = e->read_generation;
 	if (s && r->version < s->version)
 		return;
+	if (s && is_of_older_copy(e, s, r)) {
+		keep_newer_row(s, r);
+		return;
+	}
 	if (!s)
 		s = add(e, r);
 	if (!added && is_restart(s, r)) {
@@ -242,6 +272,7 @@
 	s->version = r->version;
 	s->slow_start_until_ns = e->ev.now_ns + r->slow_start_left_ns;
 	s->missing = false;
+	s->listed_by_copy = false;
 }
 
 static int64_t later(int64_t a, int64_t b)
@@ -260,9 +291,13 @@
 {
 	s->state = SRV_GONE;
 	s->missing = false;
-	s->delete_ns =
-		later(s->paused_until_ns,
-		      s->said_leaving ? e->ev.now_ns + LEAVING_MEMORY_NS : 0);
+	s->delete_ns = s->paused_until_ns;
+	if (s->said_leaving)
+		s->delete_ns =
+			later(s->delete_ns, e->ev.now_ns + LEAVING_MEMORY_NS);
+	if (e->sync.era != ERA_NONE)
+		s->delete_ns =
+			later(s->delete_ns, e->ev.now_ns + GONE_MEMORY_NS);
 }
 
 static bool is_in_use(const struct srv_row *s)
@@ -272,6 +307,7 @@
 
 static void start_removal(struct edge *e, struct srv_row *s)
 {
+	s->listed_by_copy = false;
 	if (s->state == SRV_GONE || s->missing)
 		return;
 	s->missing = true;
@@ -304,6 +340,17 @@
 	e->server_removal_pending = true;
 }
 
+void srv_begin_era(struct edge *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->servers.len; i++) {
+		struct srv_row *s = tab_at(&e->servers, i);
+
+		s->version = 0;
+	}
+}
+
 uint32_t srv_begin_full_read(struct edge *e)
 {
 	return ++e->read_generation;
@@ -316,14 +363,32 @@
 	for (i = 0; i < e->servers.len; i++) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
-		if (s->read_generation < number && s->version <= version)
-			start_removal(e, s);
+		if (s->read_generation >= number || s->version > version)
+			continue;
+		start_removal(e, s);
+		/* A later row is one of this era. */
+		if (!s->version)
+			s->version = version;
 	}
 }
 
+/* When all servers that live have registered again. */
+static int64_t registered_ns(const struct edge *e)
+{
+	return later(avail_registered_ns(&e->store), e->sync.era_registered_ns);
+}
+
+/* The copy's row has outlived what it would if its server had left. */
+static void list_again(struct srv_row *s)
+{
+	s->listed_by_copy = false;
+	s->state = s->said_leaving ? SRV_DRAINING : SRV_READY;
+	log_server(s, "listed");
+}
+
 void srv_tick(struct edge *e, int64_t now_ns)
 {
-	int64_t registered_ns = avail_registered_ns(&e->store);
+	int64_t due_ns = registered_ns(e);
 	uint32_t i = e->servers.len;
 
 	if (!e->server_removal_pending && now_ns < e->server_delete_ns)
@@ -333,7 +398,7 @@
 	while (i-- > 0) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
-		if (s->missing && registered_ns <= now_ns) {
+		if (s->missing && due_ns <= now_ns) {
 			set_gone(e, s);
 			log_server(s, "gone");
 		}
@@ -346,6 +411,10 @@
 				earlier(e->server_delete_ns, s->delete_ns);
 			continue;
 		}
+		if (s->listed_by_copy) {
+			list_again(s);
+			continue;
+		}
 		remove_from_service(e, s);
 		idx_del(&e->server_by_key, s->key);
 		idx_del(&e->server_by_short_key, srv_short_key(s->key));
@@ -361,8 +430,7 @@
 		const struct srv_row *s = tab_at(&e->servers, i);
 
 		if (s->missing)
-			return earlier(avail_registered_ns(&e->store),
-				       e->server_delete_ns);
+			return earlier(registered_ns(e), e->server_delete_ns);
 	}
 	return e->server_delete_ns;
 }
--- a/src/edge/backend_server.h
+++ b/src/edge/backend_server.h
@@ -13,6 +13,8 @@
 /* Records that a full read lists the server, although its row cannot be read;
  * does nothing for an unknown one. */
 void srv_keep(struct edge *e, struct str id);
+/* Makes the known rows older than all that the store lists in its new era. */
+void srv_begin_era(struct edge *e);
 /* Begins a full read, which may overlap with others, and returns its number. */
 uint32_t srv_begin_full_read(struct edge *e);
 /* Ends a full read as of a version: servers that were not listed since it began
--- a/src/edge/control_listener.c
+++ b/src/edge/control_listener.c
@@ -1,5 +1,7 @@
 #include "control_listener.h"
 
+#include <stdio.h>
+
 #include "state_codec.h"
 #include "metrics.h"
 #include "logs.h"
@@ -8,17 +10,21 @@
 
 static void write_status(struct edge *e, struct strbuf *out)
 {
+	char era[24] = "null";
 	uint32_t i;
 
+	if (e->sync.era != ERA_NONE)
+		snprintf(era, sizeof(era), "%llu",
+			 (unsigned long long)era_number(e->sync.era));
 	strbuf_add(out, STR("{\"vm\":\""));
 	logs_add_json_escaped(out, e->settings.id);
 	strbuf_addf(out,
 		    "\",\"ready\":%s,\"leaving\":%s,\"config\":%llu,"
-		    "\"members\":%u,\"rank\":%u,\"requests\":%u,"
-		    "\"servers\":[",
+		    "\"era\":%s,\"members\":%u,\"rank\":%u,"
+		    "\"requests\":%u,\"servers\":[",
 		    edge_is_ready(e) ? "true" : "false",
 		    e->leaving ? "true" : "false",
-		    (unsigned long long)(e->conf ? e->conf->version : 0),
+		    (unsigned long long)(e->conf ? e->conf->version : 0), era,
 		    vm_count_alive(e), sync_rank(e), e->requests.len);
 	for (i = 0; i < e->servers.len; i++) {
 		const struct srv_row *s = tab_at(&e->servers, i);
@@ -36,21 +42,28 @@
 	strbuf_add(out, STR("]}"));
 }
 
-/* Value of "?config=VERSION", the only argument of /state and /config; 0 if
- * absent. */
-static uint64_t parse_config_arg(struct str target)
+/* Decodes "?config=VERSION&era=ERA", the arguments of /state and /config; 0 for
+ * each that is absent. */
+static struct era_version parse_config_args(struct str target)
 {
-	uint64_t version;
+	struct era_version config = {ERA_NONE, 0};
+	struct str arg;
 
 	str_split(&target, '=');
-	return str_parse_u64(target, &version) ? version : 0;
+	arg = str_split(&target, '&');
+	if (!str_parse_u64(arg, &config.version))
+		config.version = 0;
+	str_split(&target, '=');
+	if (!str_parse_u64(target, &config.era))
+		config.era = ERA_NONE;
+	return config;
 }
 
 /* Writes a part for a peer. */
 static void write_part(struct edge *e, enum sync_part part,
 		       const struct hreq *req, struct edge_response *resp)
 {
-	uint64_t config_version = parse_config_arg(req->target);
+	struct era_version config = parse_config_args(req->target);
 
 	if (!sync_may_serve(e)) {
 		resp->status = 503;
@@ -58,9 +71,9 @@
 	}
 	resp->content_type = "application/msgpack";
 	if (part == SYNC_CONFIG)
-		codec_write_config(e, config_version, &resp->body);
+		codec_write_config(e, config, &resp->body);
 	else
-		codec_write_state(e, config_version, &resp->body);
+		codec_write_state(e, config, &resp->body);
 	sync_on_served(e, resp->body.len);
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -53,24 +53,70 @@
 	return edge_has_state(e) && !e->leaving;
 }
 
-void edge_set_conf(struct edge *e, struct conf *conf)
+static struct era_version conf_version(const struct conf *conf)
 {
-	if (e->conf && conf->version <= e->conf->version) {
-		conf_free(conf);
-		return;
-	}
-	logs_event(LOGS_INFO, "config",
+	return conf ? (struct era_version){conf->era, conf->version}
+		    : (struct era_version){ERA_NONE, 0};
+}
+
+struct era_version edge_conf_in_force(const struct edge *e)
+{
+	return conf_version(e->conf);
+}
+
+struct era_version edge_conf_newest(const struct edge *e)
+{
+	return conf_version(e->held_conf ? e->held_conf : e->conf);
+}
+
+static void log_conf(const struct edge *e, const struct conf *conf,
+		     const char *event)
+{
+	logs_event(LOGS_INFO, event,
 		   (struct logs_field[]){
 			   LOGS_INT("version", conf->version),
 			   LOGS_INT("before", e->conf ? e->conf->version : 0),
 			   LOGS_INT("routes", conf->route_count),
 			   LOGS_INT("services", conf->service_count),
+			   LOGS_INT("era", conf->era),
 		   },
-		   4);
+		   5);
+}
+
+void edge_set_conf(struct edge *e, struct conf *conf)
+{
+	enum era_config use = ERA_CONFIG_APPLY;
+
+	if (e->conf)
+		use = era_judge_config(edge_conf_in_force(e),
+				       conf_version(e->held_conf),
+				       conf_version(conf));
+	if (use == ERA_CONFIG_DROP) {
+		conf_free(conf);
+		return;
+	}
+	log_conf(e, conf, use == ERA_CONFIG_HOLD ? "config_held" : "config");
+	conf_free(e->held_conf);
+	e->held_conf = NULL;
+	if (use == ERA_CONFIG_HOLD) {
+		e->held_conf = conf;
+		e->held_conf_ns = e->ev.now_ns;
+		return;
+	}
 	conf_free(e->conf);
 	e->conf = conf;
 }
 
+void edge_end_hold(struct edge *e)
+{
+	if (!e->held_conf || !era_hold_is_over(e->held_conf_ns, e->ev.now_ns))
+		return;
+	log_conf(e, e->held_conf, "config");
+	conf_free(e->conf);
+	e->conf = e->held_conf;
+	e->held_conf = NULL;
+}
+
 struct svc_row *edge_service(struct edge *e, uint64_t key)
 {
 	struct svc_row *s =
@@ -130,6 +176,7 @@
 	cconn_expire(e);
 	bconn_expire(e);
 	load_expire(e);
+	edge_end_hold(e);
 }
 
 static void on_signal(void *ctx, int number)
@@ -212,6 +259,7 @@
 	emsg_stop(e);
 	edge_free_tables(e);
 	conf_free(e->conf);
+	conf_free(e->held_conf);
 	ev_free(&e->ev);
 	eset_free(&e->settings);
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -9,6 +9,7 @@
 #include "edge_settings.h"
 #include "event_loop.h"
 #include "store_availability.h"
+#include "store_era.h"
 #include "sync_ops.h"
 
 #define EDGE_ID_BYTES 72
@@ -141,7 +142,13 @@
 struct sync_state {
 	struct sync_store_ops store;
 	struct sync_peer_ops peers;
-	/* Versions of the store that this VM's tables reflect. */
+	/* Newest era of the store that this VM has heard, from the store or
+	 * from another VM. */
+	uint64_t era;
+	/* Servers that the new era does not list are kept until then. */
+	int64_t era_registered_ns;
+	/* Versions of the store, of this era, that this VM's tables reflect; 0
+	 * if they are of an earlier one. */
 	uint64_t config_version;
 	uint64_t servers_version;
 	/* When this VM last read the store, received a notice or fetched the
@@ -166,7 +173,7 @@
 	/* Earliest retry of a failed read of the configuration. */
 	int64_t config_retry_ns;
 	/* Last version of the configuration that notices announced. */
-	uint64_t announced_config_version;
+	struct era_version announced_config;
 	/* Repeated notices of a new configuration that are still to be sent. */
 	uint32_t config_notices_left;
 	struct sync_fetch fetches[SYNC_PARTS];
@@ -216,6 +223,8 @@
 	/* The store does not list it any more. It becomes SRV_GONE once it
 	 * would have registered again if its row had expired in an outage. */
 	bool missing;
+	/* It is gone, but the store has returned from a copy that lists it. */
+	bool listed_by_copy;
 	/* A row in SRV_GONE is kept until then. */
 	int64_t delete_ns;
 	/* Requests and idle connections of this VM. */
@@ -386,8 +395,8 @@
 	uint64_t incarnation;
 	/* Counter that the VM increments each time it sends its record. */
 	uint64_t heartbeat;
-	/* Version of the configuration in its last message; 0 for none. */
-	uint64_t config_version;
+	/* The configuration in its last message; version 0 for none. */
+	struct era_version config;
 	/* When the VM was last known to be alive. */
 	int64_t last_seen_ns;
 	/* Last load report, and when it was received; emptied when it
@@ -434,6 +443,10 @@
 	struct edge_ops ops;
 	/* NULL until a configuration is known. */
 	struct conf *conf;
+	/* Configuration that is held back, see era_judge_config(); NULL for
+	 * none. Since when. */
+	struct conf *held_conf;
+	int64_t held_conf_ns;
 	struct tab services;
 	struct idx service_by_key;
 	struct tab servers;
@@ -507,8 +520,14 @@
 /* True when both the configuration and the servers are known. */
 bool edge_has_state(const struct edge *e);
 /* Takes ownership of conf; puts it in force if it is newer than the current
- * one and frees it otherwise. */
+ * one, holds it back as era_judge_config() says, and frees it otherwise. */
 void edge_set_conf(struct edge *e, struct conf *conf);
+/* Puts a configuration in force that has been held back long enough. */
+void edge_end_hold(struct edge *e);
+/* The configuration in force, and the newest one known, which may be held
+ * back; version 0 for none. */
+struct era_version edge_conf_in_force(const struct edge *e);
+struct era_version edge_conf_newest(const struct edge *e);
 /* Row of a service; added if there is none. */
 struct svc_row *edge_service(struct edge *e, uint64_t key);
 
--- a/src/edge/edge_config.h
+++ b/src/edge/edge_config.h
@@ -96,6 +96,8 @@
 struct conf {
 	struct arn arena;
 	uint64_t version;
+	/* Era of the store from which it was read; see store_era.h. */
+	uint64_t era;
 	struct conf_limits limits;
 	struct conf_route *routes;
 	uint32_t route_count, route_cap;
--- a/src/edge/edge_http_client.c
+++ b/src/edge/edge_http_client.c
@@ -72,7 +72,7 @@
 {
 	call_done_fn *done = c->done;
 	void *ctx = c->ctx;
-	struct call_result result = {err, c->status, STR_NONE};
+	struct call_result result = {err, c->status, STR_NONE, c->era};
 	struct strbuf body = c->body;
 
 	if (err || !c->keep_alive || c->in.len)
@@ -162,6 +162,7 @@
 	c->deadline_ns = e->ev.now_ns + req->timeout_ns;
 	c->head_done = false;
 	c->status = 0;
+	c->era = ERA_NONE;
 	c->out_sent = 0;
 	strbuf_reset(&c->out);
 	strbuf_reset(&c->body);
@@ -184,7 +185,7 @@
 	}
 }
 
-static bool parse_head(struct call_row *c)
+static bool parse_head(const struct edge *e, struct call_row *c)
 {
 	size_t len = hreq_head_len(strbuf_view(&c->in));
 	struct rsp r;
@@ -198,6 +199,7 @@
 		return false;
 	}
 	c->status = r.status;
+	c->era = era_decode(rsp_get(&r, e->headers->store_era));
 	c->keep_alive = r.keep_alive;
 	c->chunked = r.chunked;
 	c->until_close = !r.chunked && r.length < 0;
@@ -237,9 +239,9 @@
 			  : !c->until_close && !c->body_left;
 }
 
-static void on_data(struct call_row *c)
+static void on_data(const struct edge *e, struct call_row *c)
 {
-	if (!c->head_done && !parse_head(c))
+	if (!c->head_done && !parse_head(e, c))
 		return;
 	if (decode_body(c))
 		finish(c, ERR_OK);
@@ -272,7 +274,7 @@
 		return;
 	if (n > 0) {
 		c->in.len += (size_t)n;
-		on_data(c);
+		on_data(e, c);
 		return;
 	}
 	c->keep_alive = false;
--- a/src/edge/edge_http_client.h
+++ b/src/edge/edge_http_client.h
@@ -4,6 +4,7 @@
 #include "edge.h"
 #include "http_body.h"
 #include "response_head.h"
+#include "store_era.h"
 
 /*
  * Non-blocking HTTP client for the store and other VMs. A row is a persistent
@@ -20,6 +21,8 @@
 	enum err err;
 	int status;
 	struct str body;
+	/* Era of the store that the response names; ERA_NONE for none. */
+	uint64_t era;
 };
 
 typedef void call_done_fn(void *ctx, const struct call_result *result);
@@ -59,6 +62,8 @@
 	/* Bytes of the body still to be received, unless it is chunked. */
 	uint64_t body_left;
 	int status;
+	/* See struct call_result. */
+	uint64_t era;
 	struct hbod decoder;
 	int64_t deadline_ns;
 	call_done_fn *done;
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -12,11 +12,12 @@
 #include "edge_messages_internal.h"
 #include "backend_server.h"
 
-#define MESSAGE_FORMAT 4
-/* Fields of a message: the common ones (format, kind, sender and version of the
- * sender's configuration), and those of its kind. */
-#define COMMON_FIELDS 4
-#define MAX_FIELDS 12
+#define MESSAGE_FORMAT 5
+/* Fields of a message: the common ones (format, kind, sender, newest era of the
+ * store that the sender has heard, era and version of its configuration), and
+ * those of its kind. */
+#define COMMON_FIELDS 6
+#define MAX_FIELDS 14
 /* Fields per service in a report of the retry budget. */
 #define BUDGET_COUNT_FIELDS 6
 /* Largest age in a message, one year; older ones are cut to it. */
@@ -38,7 +39,9 @@
 	mpk_put_uint(&d->out, MESSAGE_FORMAT);
 	mpk_put_uint(&d->out, kind);
 	mpk_put_uint(&d->out, e->self);
-	mpk_put_uint(&d->out, e->conf ? e->conf->version : 0);
+	mpk_put_uint(&d->out, e->sync.era);
+	mpk_put_uint(&d->out, edge_conf_in_force(e).era);
+	mpk_put_uint(&d->out, edge_conf_in_force(e).version);
 }
 
 void emsg_send(struct edge *e, const struct emsg_datagram *d,
@@ -229,8 +232,7 @@
 	struct emsg_datagram d;
 	uint32_t i;
 
-	emsg_begin(e, &d, EMSG_NOTICE, 8);
-	mpk_put_uint(&d.out, n->config_version);
+	emsg_begin(e, &d, EMSG_NOTICE, 7);
 	mpk_put_uint(&d.out, n->from_version);
 	mpk_put_uint(&d.out, n->to_version);
 	put_availability(&d.out, &n->store);
@@ -246,21 +248,24 @@
 	return true;
 }
 
-static void on_notice(struct edge *e, struct mpk_reader *in, uint64_t sender)
+static void on_notice(struct edge *e, struct mpk_reader *in, uint64_t sender,
+		      uint64_t era)
 {
 	struct vm_row *from = vm_find(e, sender);
 	struct sync_notice n = {.change_count = 0};
 	uint32_t i;
 
-	n.config_version = mpk_get_uint(in, 0, UINT64_MAX);
+	n.era = era;
 	n.from_version = mpk_get_uint(in, 0, UINT64_MAX);
 	n.to_version = mpk_get_uint(in, 0, UINT64_MAX);
 	get_availability(in, &n.store);
 	n.change_count = mpk_get_array_len(in, SYNC_MAX_NOTICE_CHANGES);
 	for (i = 0; i < n.change_count; i++)
 		codec_get_change(in, &n.changes[i]);
-	if (from && !in->failed)
-		sync_on_notice(e, from, &n);
+	if (!from || in->failed)
+		return;
+	n.config = from->config;
+	sync_on_notice(e, from, &n);
 }
 
 static void put_budget(struct mpk_writer *out, const struct bud_report *r)
@@ -433,7 +438,8 @@
 			const struct sockaddr_in *from)
 {
 	struct mpk_reader in;
-	uint64_t kind, sender, config_version;
+	uint64_t kind, sender, era;
+	struct era_version config;
 	struct vm_row *vm;
 
 	mpk_reader_init(&in, bytes);
@@ -442,17 +448,20 @@
 		return;
 	kind = mpk_get_uint(&in, EMSG_OUTCOME, EMSG_LAST);
 	sender = mpk_get_uint(&in, 0, UINT64_MAX);
-	config_version = mpk_get_uint(&in, 0, UINT64_MAX);
+	era = mpk_get_uint(&in, 0, UINT64_MAX);
+	config.era = mpk_get_uint(&in, 0, UINT64_MAX);
+	config.version = mpk_get_uint(&in, 0, UINT64_MAX);
 	if (sender == e->self || in.failed)
 		return;
+	sync_on_era(e, era);
 	vm_record_alive(e, sender, 0);
 	vm = vm_find(e, sender);
 	if (vm)
-		sync_on_peer_config(e, vm, config_version);
+		sync_on_peer_config(e, vm, config);
 	if (kind == EMSG_MEMBERS || kind == EMSG_MEMBERS_REQUEST)
 		emsg_on_members(e, &in, from, kind == EMSG_MEMBERS_REQUEST);
 	else if (kind == EMSG_NOTICE)
-		on_notice(e, &in, sender);
+		on_notice(e, &in, sender, era);
 	else if (kind == EMSG_LOAD)
 		on_load(e, &in, sender);
 	else if (kind == EMSG_SUMMARY)
--- a/src/edge/header_names.c
+++ b/src/edge/header_names.c
@@ -7,6 +7,7 @@
 	.not_run = {"X-Not-Run", 9},
 	.response_signature = {NULL, 0},
 	.server_leaving = {"X-Server-Leaving", 16},
+	.store_era = {"X-Store-Era", 11},
 };
 
 bool hdr_is_known(const struct hdr_names *names, struct str name)
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -24,6 +24,8 @@
 	/* In a response: "1" if the backend server is leaving, so that it is to
 	 * get no more requests. */
 	struct str server_leaving;
+	/* In a response of the store: its era; see store_era.h. */
+	struct str store_era;
 };
 
 /* Names of currantpaddle's own protocol, for use without a platform. */
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -5,13 +5,13 @@
 
 #include "store_sync.h"
 
-#define STATE_FORMAT 2
+#define STATE_FORMAT 3
 #define CHANGE_FIELDS 12
 #define ROUTE_FIELDS 9
 #define SERVICE_FIELDS 3
-#define STATE_FIELDS 6
-#define CONF_FIELDS 7
-#define CONFIG_FIELDS 3
+#define STATE_FIELDS 7
+#define CONF_FIELDS 8
+#define CONFIG_FIELDS 4
 #define LEAVING_FIELDS 2
 /* Bounds on the counts and lengths that a message may declare. */
 #define MAX_SERVERS 200000
@@ -151,6 +151,7 @@
 	uint32_t i;
 
 	mpk_put_array(out, CONF_FIELDS);
+	mpk_put_uint(out, c->era);
 	mpk_put_uint(out, c->version);
 	mpk_put_uint(out, c->limits.max_head_bytes);
 	mpk_put_uint(out, c->limits.max_body_bytes);
@@ -174,6 +175,7 @@
 	uint32_t i, n;
 
 	mpk_expect_array(in, CONF_FIELDS);
+	c->era = mpk_get_uint(in, 0, UINT64_MAX);
 	c->version = mpk_get_uint(in, 0, UINT64_MAX);
 	c->limits.max_head_bytes = mpk_get_uint(in, 0, UINT64_MAX);
 	c->limits.max_body_bytes = mpk_get_uint(in, 0, UINT64_MAX);
@@ -243,16 +245,17 @@
 }
 
 static void put_conf_if_newer(struct mpk_writer *out, const struct edge *e,
-			      uint64_t peer_config_version)
+			      struct era_version peer_config)
 {
-	if (e->conf && e->conf->version > peer_config_version)
+	if (e->conf && era_is_newer(edge_conf_in_force(e), peer_config))
 		put_conf(out, e->conf);
 	else
 		mpk_put_nil(out);
+	mpk_put_uint(out, e->sync.era);
 	mpk_put_uint(out, e->sync.config_version);
 }
 
-void codec_write_config(const struct edge *e, uint64_t peer_config_version,
+void codec_write_config(const struct edge *e, struct era_version peer_config,
 			struct strbuf *out)
 {
 	size_t size = max_config_bytes(e);
@@ -262,11 +265,11 @@
 	mpk_writer_init(&w, out->ptr + out->len, size);
 	mpk_put_array(&w, CONFIG_FIELDS);
 	mpk_put_uint(&w, STATE_FORMAT);
-	put_conf_if_newer(&w, e, peer_config_version);
+	put_conf_if_newer(&w, e, peer_config);
 	out->len += size - w.left;
 }
 
-void codec_write_state(const struct edge *e, uint64_t peer_config_version,
+void codec_write_state(const struct edge *e, struct era_version peer_config,
 		       struct strbuf *out)
 {
 	size_t size = max_state_bytes(e);
@@ -277,7 +280,7 @@
 	mpk_writer_init(&w, out->ptr + out->len, size);
 	mpk_put_array(&w, STATE_FIELDS);
 	mpk_put_uint(&w, STATE_FORMAT);
-	put_conf_if_newer(&w, e, peer_config_version);
+	put_conf_if_newer(&w, e, peer_config);
 	mpk_put_uint(&w, e->sync.servers_version);
 	mpk_put_array(&w, e->servers.len);
 	for (i = 0; i < e->servers.len; i++) {
@@ -294,6 +297,9 @@
 struct state {
 	/* NULL if the state holds none. */
 	struct conf *conf;
+	/* Newest era that the sender has heard, to which both versions belong.
+	 */
+	uint64_t era;
 	uint64_t config_version;
 	uint64_t servers_version;
 	struct srv_change *servers;
@@ -345,6 +351,7 @@
 	mpk_get_uint(in, STATE_FORMAT, STATE_FORMAT);
 	if (!mpk_skip_nil(in))
 		s->conf = get_conf(in);
+	s->era = mpk_get_uint(in, 0, UINT64_MAX);
 	s->config_version = mpk_get_uint(in, 0, UINT64_MAX);
 }
 
@@ -366,7 +373,22 @@
 	for (i = 0; i < s->server_count; i++)
 		codec_apply_change(e, &s->servers[i]);
 	srv_finish_full_read(e, number, s->servers_version);
-	sync_set_versions(e, s->config_version, s->servers_version);
+	if (s->era == e->sync.era) {
+		sync_set_versions(e, s->config_version, s->servers_version);
+		return;
+	}
+	srv_begin_era(e);
+	sync_set_versions(e, 0, 0);
+}
+
+/* The servers of a sender that has not read those of its era are older than
+ * any. */
+static bool has_newer_servers(const struct edge *e, const struct state *s)
+{
+	if (!e->servers_known)
+		return true;
+	return s->era == e->sync.era && (!s->era || s->servers_version) &&
+	       s->servers_version >= e->sync.servers_version;
 }
 
 static void apply_leaving(struct edge *e, const struct state *s)
@@ -399,8 +421,10 @@
 	get_config(&in, CONFIG_FIELDS, &s);
 	valid = !in.failed && !in.left;
 	if (valid) {
+		sync_on_era(e, s.era);
 		apply_conf(e, &s);
-		sync_set_config_version(e, s.config_version);
+		if (s.era == e->sync.era)
+			sync_set_config_version(e, s.config_version);
 	}
 	free_state(&s);
 	return valid ? ERR_OK : ERR_INVALID;
@@ -411,9 +435,11 @@
 	struct state s = {.conf = NULL};
 	bool valid = get_state(bytes, &s);
 
-	if (valid)
+	if (valid) {
+		sync_on_era(e, s.era);
 		apply_conf(e, &s);
-	if (valid && s.servers_version >= e->sync.servers_version)
+	}
+	if (valid && has_newer_servers(e, &s))
 		apply_servers(e, &s);
 	if (valid)
 		apply_leaving(e, &s);
--- a/src/edge/state_codec.h
+++ b/src/edge/state_codec.h
@@ -24,18 +24,19 @@
  * version or a newer one, all servers, and those that said that they are
  * leaving.
  */
-void codec_write_state(const struct edge *e, uint64_t peer_config_version,
+void codec_write_state(const struct edge *e, struct era_version peer_config,
 		       struct strbuf *out);
 /* Writes the configuration of this VM, unless the receiver has this version or
  * a newer one. */
-void codec_write_config(const struct edge *e, uint64_t peer_config_version,
+void codec_write_config(const struct edge *e, struct era_version peer_config,
 			struct strbuf *out);
 /* Applies a configuration if it is newer; ERR_INVALID for malformed input. */
 enum err codec_apply_config(struct edge *e, struct str bytes);
 /*
  * Applies the configuration of a state if it is newer, and the servers unless
- * they are older. Applies nothing and returns ERR_INVALID for malformed input,
- * which includes bytes after the state.
+ * they are older; those of an earlier era only if this VM knows none. Applies
+ * nothing and returns ERR_INVALID for malformed input, which includes bytes
+ * after the state.
  */
 enum err codec_apply_state(struct edge *e, struct str bytes);
 
--- a/src/edge/state_fetch.c
+++ b/src/edge/state_fetch.c
@@ -76,12 +76,14 @@
 {
 	struct sockaddr_in addr = from->message_addr;
 	struct edge *e = ctx;
+	struct era_version config = edge_conf_newest(e);
 	struct strbuf target;
 
 	addr.sin_port = e->settings.control.sin_port;
 	strbuf_init(&target);
-	strbuf_addf(&target, "%s?config=%llu", paths[part],
-		    (unsigned long long)(e->conf ? e->conf->version : 0));
+	strbuf_addf(&target, "%s?config=%llu&era=%llu", paths[part],
+		    (unsigned long long)config.version,
+		    (unsigned long long)config.era);
 	call_set_address(e, e->sync.fetches[part].call, &addr);
 	call_begin(e, e->sync.fetches[part].call,
 		   &(struct call_request){
--- a/src/edge/store_availability.c
+++ b/src/edge/store_availability.c
@@ -1,15 +1,11 @@
 #include "store_availability.h"
 
-#include "timer.h"
-
 /* Reads that fail for this long, with no successful read in the region, count
  * as an outage. Longer than the interval at which another VM reads in place of
  * one that cannot (store_sync.c). */
 #define OUTAGE_NS (2 * NS_PER_S)
 /* Error of the ages of a report: the time that the report took. */
 #define REPORT_ERROR_NS (200 * NS_PER_MS)
-/* Servers whose rows expired register again within 2 s after an outage. */
-#define REREGISTER_NS (2200 * NS_PER_MS)
 
 void avail_on_read(struct avail_state *a, int64_t now_ns, bool ok)
 {
@@ -66,5 +62,5 @@
 
 int64_t avail_registered_ns(const struct avail_state *a)
 {
-	return a->after_outage ? a->since_ns + REREGISTER_NS : 0;
+	return a->after_outage ? a->since_ns + AVAIL_REGISTER_NS : 0;
 }
--- a/src/edge/store_availability.h
+++ b/src/edge/store_availability.h
@@ -4,6 +4,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "timer.h"
+
+/* Servers whose rows the store has lost register again within 2 s after it is
+ * back. */
+#define AVAIL_REGISTER_NS (2200 * NS_PER_MS)
+
 /*
  * Since when the store has been available, by the reads of all VMs of a region.
  * While the store is away, rows of servers expire that register again once it
--- a/src/edge/store_sync.c
+++ b/src/edge/store_sync.c
@@ -4,6 +4,7 @@
 
 #include "edge_membership.h"
 #include "logs.h"
+#include "metrics.h"
 #include "store_sync_internal.h"
 
 /* Interval at which the VM of rank 0 polls for changes of servers. */
@@ -188,7 +189,8 @@
 				      uint64_t to)
 {
 	return (struct sync_notice){
-		.config_version = e->conf->version,
+		.era = e->sync.era,
+		.config = edge_conf_in_force(e),
 		.from_version = from,
 		.to_version = to,
 		.store = avail_report(&e->store, e->ev.now_ns),
@@ -321,6 +323,32 @@
 	c->recent_read_after[0] = s->read_after;
 }
 
+void sync_on_era(struct edge *e, uint64_t era)
+{
+	struct sync_state *s = &e->sync;
+
+	if (era <= s->era)
+		return;
+	logs_event(LOGS_INFO, "store_era",
+		   (struct logs_field[]){
+			   LOGS_INT("era", era),
+			   LOGS_INT("before", s->era),
+			   LOGS_INT("servers_version", s->servers_version),
+			   LOGS_INT("config_version", s->config_version),
+			   LOGS_INT("config", e->conf ? e->conf->version : 0),
+			   LOGS_INT("rank", sync_rank(e)),
+		   },
+		   6);
+	ctr_add(CTR_STORE_ERAS, 1);
+	s->era = era;
+	s->config_version = 0;
+	s->servers_version = 0;
+	reset_changes(s, 0);
+	if (e->servers_known)
+		s->era_registered_ns = e->ev.now_ns + AVAIL_REGISTER_NS;
+	srv_begin_era(e);
+}
+
 static void on_servers_read_failed(struct edge *e)
 {
 	struct sync_state *s = &e->sync;
@@ -405,9 +433,12 @@
 {
 	struct sync_state *s = &e->sync;
 
-	if (!e->conf || e->conf->version == s->announced_config_version)
+	struct era_version config = edge_conf_in_force(e);
+
+	if (!e->conf || (config.era == s->announced_config.era &&
+			 config.version == s->announced_config.version))
 		return;
-	s->announced_config_version = e->conf->version;
+	s->announced_config = config;
 	s->config_notices_left = CONFIG_NOTICE_REPEATS;
 	send_notices(e);
 	tmr_subscribe(
@@ -496,7 +527,11 @@
 	if (!avail_on_report(&e->store, e->ev.now_ns, &n->store))
 		correct_reader(e, from);
 	record_notice_rank(e, sync_rank_of(e, from));
-	sync_on_peer_config(e, from, n->config_version);
+	sync_on_peer_config(e, from, n->config);
+	/* The sender reads of a store that has since returned from an older
+	 * copy. */
+	if (n->era < s->era)
+		return;
 	if (!edge_has_state(e) || n->from_version > s->servers_version) {
 		sync_schedule_fetch_soon(e, SYNC_STATE, from->key);
 		return;
--- a/src/edge/store_sync.h
+++ b/src/edge/store_sync.h
@@ -13,6 +13,10 @@
  * notice within its takeover delay reads the store itself; the delay grows with
  * the rank, so that the VMs do not all read at once.
  *
+ * The store may return from an older copy, under a new era; see store_era.h. A
+ * VM that hears a new era, from the store or from a VM, keeps its tables in use
+ * until it has read or received those of that era.
+ *
  * Each message of a VM bears the version of its configuration. A VM that hears
  * of a newer one fetches it from any VM that has it. A VM that starts or has
  * missed a change of servers fetches the state, that is both tables, from a
@@ -30,8 +34,11 @@
 
 /* Notice that a VM broadcasts to its region after it has read the store. */
 struct sync_notice {
-	/* Version of the configuration in force. */
-	uint64_t config_version;
+	/* Newest era that the sender has heard, to which the versions below
+	 * belong. */
+	uint64_t era;
+	/* The configuration in force. */
+	struct era_version config;
 	/* All changes of servers after from_version, up to to_version. */
 	uint64_t from_version;
 	uint64_t to_version;
@@ -52,9 +59,12 @@
 		       uint64_t version);
 void sync_fetch_done(struct edge *e, enum sync_part part,
 		     enum sync_fetch_result result);
-/* Records the version of the configuration that a message of a VM bears; 0 for
- * none. */
-void sync_on_peer_config(struct edge *e, struct vm_row *from, uint64_t version);
+/* Records an era of the store that the store or a VM has named. */
+void sync_on_era(struct edge *e, uint64_t era);
+/* Records the configuration that a message of a VM bears; version 0 for none.
+ */
+void sync_on_peer_config(struct edge *e, struct vm_row *from,
+			 struct era_version config);
 /* True when this VM has state, and its link has room to send a part to a
  * peer. */
 bool sync_may_serve(const struct edge *e);
@@ -64,7 +74,7 @@
 void sync_on_notice(struct edge *e, struct vm_row *from,
 		    const struct sync_notice *n);
 /* Raises the versions that this VM's tables reflect to those of a state that
- * was fetched from a peer. */
+ * was fetched from a peer, of the newest era. */
 void sync_set_versions(struct edge *e, uint64_t config, uint64_t servers);
 /* The same for the configuration alone. */
 void sync_set_config_version(struct edge *e, uint64_t config);
--- a/src/edge/store_sync_fetch.c
+++ b/src/edge/store_sync_fetch.c
@@ -41,7 +41,7 @@
 static bool has_newer_config(const struct edge *e, const struct vm_row *vm)
 {
 	return vm->key != e->self && vm_is_alive(e, vm) && e->conf &&
-	       vm->config_version > e->conf->version;
+	       era_is_newer(vm->config, edge_conf_newest(e));
 }
 
 /* Finds a random VM with a newer configuration, one of this region if there is
@@ -171,7 +171,7 @@
 	if (sync_is_config_reader(e))
 		sync_announce_config(e);
 	else if (e->conf)
-		s->announced_config_version = e->conf->version;
+		s->announced_config = edge_conf_in_force(e);
 	if (part == SYNC_STATE) {
 		s->last_update_ns = e->ev.now_ns;
 		sync_schedule_poll(e, e->ev.now_ns + sync_takeover_delay_ns(
@@ -203,9 +203,10 @@
 		schedule_fetch_retry(e, part);
 }
 
-void sync_on_peer_config(struct edge *e, struct vm_row *from, uint64_t version)
+void sync_on_peer_config(struct edge *e, struct vm_row *from,
+			 struct era_version config)
 {
-	from->config_version = version;
+	from->config = config;
 	/* The state that a VM lacks holds the configuration. */
 	if (edge_has_state(e) && has_newer_config(e, from))
 		sync_schedule_fetch_soon(e, SYNC_CONFIG, from->key);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -40,6 +40,8 @@
 				    "effect."},
 	[CTR_RELOAD_ERRORS] = {"reload_errors",
 			       "Changed settings that are invalid."},
+	[CTR_STORE_ERAS] = {"store_eras",
+			    "Eras of the store heard, the first included."},
 	[CTR_ADMIN_DENIED] = {"admin_denied",
 			      "Administration requests without the right."},
 };
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -56,6 +56,7 @@
 	tmr_free(&e->ev.timers);
 	edge_free_tables(e);
 	conf_free(e->conf);
+	conf_free(e->held_conf);
 }
 
 static inline void fix_advance(struct edge *e, int64_t ns)
--- a/tests/edge_region_sim.h
+++ b/tests/edge_region_sim.h
@@ -498,7 +498,7 @@
 	struct sim_vm *from = &sim.vms[f->from];
 	bool connected = sim_is_up(&sim, from) && !sim_is_cut(&sim, from) &&
 			 !sim_is_cut(&sim, v);
-	uint64_t version = v->e.conf ? v->e.conf->version : 0;
+	struct era_version version = edge_conf_newest(&v->e);
 
 	if (!f->active)
 		return;
@@ -605,7 +605,7 @@
 	    (int)(sim_random(&sim) % 1000) < sim.c->loss_permille)
 		return;
 	sync_on_peer_config(&to->e, vm_find(&to->e, edge_key(str_from(v->id))),
-			    v->e.conf ? v->e.conf->version : 0);
+			    edge_conf_in_force(&v->e));
 }
 
 /* Gossip, as far as store_sync depends on it: who is alive and ready. */
@@ -848,7 +848,7 @@
 			edge_set_conf(e, sim_conf(1));
 			sync_set_versions(e, sim.store_version,
 					  sim.store_version);
-			codec_write_state(e, 0, &state);
+			codec_write_state(e, (struct era_version){0}, &state);
 		} else if (codec_apply_state(e, strbuf_view(&state))) {
 			abort();
 		}
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -431,7 +431,7 @@
 
 	(void)state;
 	for (i = 0; i < COUNT(cases); i++) {
-		struct sync_notice n = {.config_version = 1};
+		struct sync_notice n = {.config.version = 1};
 		bool reader = false;
 		int k, changes = 0;
 		const char *p;
@@ -497,7 +497,7 @@
 	for (i = 0; i < COUNT(cases); i++) {
 		struct vm_record r = fix_record("vm1", "z0", "r0");
 		struct sync_notice n = {
-			.config_version = cases[i].config,
+			.config.version = cases[i].config,
 			.from_version = cases[i].from,
 			.to_version = cases[i].to,
 			.change_count = 1,
@@ -628,7 +628,7 @@
 	edge_set_conf(&e, c);
 	sync_set_versions(&e, 3, 8);
 	strbuf_init(&bytes);
-	codec_write_state(&e, 0, &bytes);
+	codec_write_state(&e, (struct era_version){0}, &bytes);
 	fix_free(&e);
 
 	for (len = 0; len < bytes.len; len++) {
@@ -677,7 +677,8 @@
 		fix_init(&e);
 		edge_set_conf(&e, new_conf(cases[i].sent));
 		sync_set_config_version(&e, 9);
-		codec_write_config(&e, cases[i].own, &bytes);
+		codec_write_config(&e, (struct era_version){0, cases[i].own},
+				   &bytes);
 		fix_free(&e);
 		for (len = 0; len <= bytes.len; len++) {
 			bool whole = len == bytes.len;
--- a/tests/test_server_signals.c
+++ b/tests/test_server_signals.c
@@ -169,7 +169,7 @@
 		if (s->state != cases[i].result)
 			fail_msg("%s: state %d", cases[i].name, s->state);
 		strbuf_init(&bytes);
-		codec_write_state(&e, 0, &bytes);
+		codec_write_state(&e, (struct era_version){0}, &bytes);
 		fix_free(&e);
 
 		/* A VM that starts anew and fetches the state. */
@@ -293,7 +293,7 @@
 	fix_server(&e, "i-0", "z0");
 	srv_set_leaving(&e, fix_server(&e, "i-1", "z0"), 1);
 	strbuf_init(&bytes);
-	codec_write_state(&e, 0, &bytes);
+	codec_write_state(&e, (struct era_version){0}, &bytes);
 	strbuf_add(&bytes, STR("\x01"));
 	fix_free(&e);
 	for (len = 0; len <= bytes.len; len++) {
--- a/tests/test_takeover_notices.c
+++ b/tests/test_takeover_notices.c
@@ -61,7 +61,7 @@
 
 	(void)state;
 	for (i = 0; i < COUNT(cases); i++) {
-		struct sync_notice n = {.config_version = 1};
+		struct sync_notice n = {.config.version = 1};
 		struct conf *conf = conf_new();
 		int64_t ns;
 		int k;
@@ -89,7 +89,7 @@
 		n.to_version = 7;
 		n.from_version = 7;
 		for (ns = 0; ns < LAST_TAKEOVER_NS; ns += STEP_NS) {
-			n.config_version += cases[i].new_config;
+			n.config.version += cases[i].new_config;
 			n.store.served_age_ns = cases[i].reads ? 0 : ns;
 			sync_on_notice(&e, tab_at(&e.vms, 1), &n);
 			fix_advance(&e, STEP_NS);
