--- a/src/edge/trial_policy.c
+++ b/src/edge/trial_policy.c
@@ -19,12 +19,14 @@
 #define IDLE_NS (1400 * NS_PER_MS)
 /* Each VM waits that much longer than the one of the rank before, as requests
  * sent to a faulty server at the same moment fail together; and the longest
- * delay. */
-#define RANK_DELAY_NS (200 * NS_PER_MS)
+ * delay. It exceeds the time in which a VM hears of the trial of another one.
+ * With 200 ms, small fleets with few requests a VM returned servers too
+ * late. */
+#define RANK_DELAY_NS (40 * NS_PER_MS)
 #define MAX_RANK_DELAY_NS (1700 * NS_PER_MS)
 /* The same for a server that is not ejected, below the two seconds after which
  * unused capacity counts as taken out of service. */
-#define IDLE_RANK_DELAY_NS (50 * NS_PER_MS)
+#define IDLE_RANK_DELAY_NS (20 * NS_PER_MS)
 #define MAX_IDLE_RANK_DELAY_NS (400 * NS_PER_MS)
 /* Part of the slots in use up to which capacity is ample: the demand of users
  * swings by half around its mean. */
