Keys of teams: check, hash and remove them; set the team's name

Cause: with teams in the configuration, a request needs a key of a team and its server needs the team's name; VMs passed Authorization on and took any request.

A route that is not public answers 401 without a known key. Authorization and the caller's value of the team's field are removed, the team's name is set. Requests that wait for the first configuration keep the hash and are checked when they are routed. Teams with hashes travel in the state, whose format becomes 3. Admission uses the team's priority before that of the route.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -10,6 +10,7 @@
 #include "event_loop.h"
 #include "store_availability.h"
 #include "sync_ops.h"
+#include "team_key.h"
 
 #define EDGE_ID_BYTES 72
 /* Backend servers that a request remembers as tried. */
@@ -293,7 +294,16 @@
 	enum req_state state;
 	enum conf_request_kind kind;
 	uint64_t service;
+	/* Of the route. */
 	uint32_t priority;
+	/* conf_team.key of the caller's team; 0 for none. */
+	uint64_t team;
+	/* Goes before the priority of the route if there is a team. */
+	uint32_t team_priority;
+	/* Until an unrouted request is routed. */
+	struct tkey_credential credential;
+	/* Fields that identify a team were left out of the head. */
+	bool has_team_fields;
 	/* Maximum number of backend servers that it is sent to. */
 	uint32_t max_attempts;
 	uint32_t connect_attempts_left;
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -130,9 +130,11 @@
 	} reason_phrases[] = {
 		{200, "OK"},
 		{400, "Bad Request"},
+		{401, "Unauthorized"},
 		{404, "Not Found"},
 		{408, "Request Timeout"},
 		{413, "Payload Too Large"},
+		{429, "Too Many Requests"},
 		{431, "Request Header Fields Too Large"},
 		{502, "Bad Gateway"},
 		{503, "Service Unavailable"},
@@ -154,6 +156,8 @@
 		    reason_phrase(status));
 	if (body.len)
 		strbuf_addf(&c->out, "Content-Type: %s\r\n", type);
+	if (status == 401)
+		strbuf_add(&c->out, STR("WWW-Authenticate: Bearer\r\n"));
 	if (retry_after_ns)
 		strbuf_addf(&c->out, "Retry-After: %.3f\r\n",
 			    (double)retry_after_ns / (double)NS_PER_S);
--- a/src/edge/edge_config.c
+++ b/src/edge/edge_config.c
@@ -151,8 +151,7 @@
 	return c->team_count - 1;
 }
 
-/* Key of a hash in conf.team_key_by_hash; never 0. */
-static uint64_t hash_prefix(const uint8_t hash[CONF_KEY_HASH_BYTES])
+uint64_t conf_hash_prefix(const uint8_t hash[CONF_KEY_HASH_BYTES])
 {
 	uint64_t prefix;
 
@@ -165,7 +164,7 @@
 	c->team_keys = grow(c->team_keys, c->team_key_count, &c->team_key_cap,
 			    sizeof(*c->team_keys));
 	c->team_keys[c->team_key_count++] = *key;
-	idx_put(&c->team_key_by_hash, hash_prefix(key->hash),
+	idx_put(&c->team_key_by_hash, conf_hash_prefix(key->hash),
 		(struct hnd){c->team_key_count, 1});
 }
 
--- a/src/edge/edge_config.h
+++ b/src/edge/edge_config.h
@@ -131,6 +131,8 @@
 		    const struct conf_dest *dests, uint32_t dest_count);
 /* Adds a team, which has no keys yet; copies the strings. Returns its index. */
 uint32_t conf_add_team(struct conf *c, const struct conf_team *team);
+/* Key of a hash in conf.team_key_by_hash: its first bytes; never 0. */
+uint64_t conf_hash_prefix(const uint8_t hash[CONF_KEY_HASH_BYTES]);
 /* Adds a key of a team by its hash. */
 void conf_add_team_key(struct conf *c, const struct conf_team_key *key);
 /* Team with that key; NULL for none. */
--- a/src/edge/header_names.c
+++ b/src/edge/header_names.c
@@ -7,6 +7,8 @@
 	.not_run = {"X-Not-Run", 9},
 	.response_signature = {NULL, 0},
 	.server_leaving = {"X-Server-Leaving", 16},
+	.authorization = {"Authorization", 13},
+	.team = {"X-Team", 6},
 };
 
 bool hdr_is_known(const struct hdr_names *names, struct str name)
@@ -23,3 +25,10 @@
 			return true;
 	return false;
 }
+
+bool hdr_is_of_team(const struct hdr_names *names, struct str name)
+{
+	return (names->authorization.len &&
+		str_eq_nocase(name, names->authorization)) ||
+	       (names->team.len && str_eq_nocase(name, names->team));
+}
--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -24,6 +24,12 @@
 	/* In a response: "1" if the backend server is leaving, so that it is to
 	 * get no more requests. */
 	struct str server_leaving;
+	/* In a request: key of the caller's team, as a bearer token. With teams
+	 * in the configuration, it is not forwarded. */
+	struct str authorization;
+	/* In a request to a backend server: name of the caller's team. With
+	 * teams in the configuration, callers' values are removed. */
+	struct str team;
 };
 
 /* Names of currantpaddle's own protocol, for use without a platform. */
@@ -31,6 +37,8 @@
 
 /* True for a name to which the platform gives a meaning. */
 bool hdr_is_known(const struct hdr_names *names, struct str name);
+/* True for a field that identifies the caller's team. */
+bool hdr_is_of_team(const struct hdr_names *names, struct str name);
 
 /* Listeners of an edge process. */
 enum edge_listener {
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -12,6 +12,7 @@
 #include "graceful_stop.h"
 #include "request_check.h"
 #include "request_internal.h"
+#include "team_key.h"
 
 /* A body up to this size is buffered before a server is chosen, so that the
  * request can be retried where that is allowed. */
@@ -132,11 +133,19 @@
 	       !hreq_is_hop_by_hop(head, name);
 }
 
+/* True while fields that identify a team must not be passed on: also for an
+ * unrouted request, as the first configuration may have teams. */
+static bool guards_team_fields(const struct edge *e)
+{
+	return !edge_has_state(e) || e->conf->has_teams;
+}
+
 /* Builds the forwarded head without the fields that frame the body or that
  * differ between attempts. */
 static void build_head(const struct edge *e, struct req_row *r,
 		       const struct hreq *head)
 {
+	bool guard = guards_team_fields(e);
 	size_t i;
 
 	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\nHost: %.*s\r\n",
@@ -145,6 +154,10 @@
 	for (i = 0; i < head->field_count; i++) {
 		const struct hreq_field *f = &head->fields[i];
 
+		if (guard && hdr_is_of_team(e->headers, f->name)) {
+			r->has_team_fields = true;
+			continue;
+		}
 		if (is_end_to_end(e, head, f->name))
 			strbuf_addf(&r->head, "%.*s: %.*s\r\n",
 				    STR_FMT(f->name), STR_FMT(f->value));
@@ -165,6 +178,27 @@
 	r->objective_ns = route->objective_ns;
 }
 
+/* Two keys could be those of two teams: neither counts. */
+static struct tkey_credential read_credential(const struct edge *e,
+					      const struct hreq *head)
+{
+	if (hreq_count(head, e->headers->authorization) != 1)
+		return (struct tkey_credential){.present = false};
+	return tkey_read(hreq_header(head, e->headers->authorization));
+}
+
+static void set_team(struct edge *e, struct req_row *r,
+		     const struct conf_team *team)
+{
+	if (!team)
+		return;
+	r->team = team->key;
+	r->team_priority = team->priority;
+	if (e->headers->team.len)
+		strbuf_addf(&r->head, "%.*s: %.*s\r\n",
+			    STR_FMT(e->headers->team), STR_FMT(team->name));
+}
+
 static struct hnd refuse_unrouted(struct edge *e, struct hnd caller,
 				  const struct hreq *head, int status,
 				  const char *why)
@@ -249,6 +283,9 @@
 	enum chk_route found;
 	int64_t deadline_ns;
 	const char *fault;
+	struct tkey_credential credential = read_credential(e, head);
+	const struct conf_team *team = NULL;
+	enum tkey_result key = TKEY_ALLOWED;
 	struct req_row *r;
 	struct hnd h;
 
@@ -262,6 +299,7 @@
 		h = add_request(e, caller, head, start_ns, deadline_ns);
 		r = req_get(e, h);
 		r->state = REQ_UNROUTED;
+		r->credential = credential;
 		strbuf_addf(&r->destination, "%.*s %.*s", STR_FMT(head->host),
 			    STR_FMT(head->path));
 		return h;
@@ -273,14 +311,46 @@
 	if (found != CHK_ROUTE_FOUND)
 		return refuse_unrouted(e, caller, head, no_route_status(found),
 				       no_route_reason(found));
+	if (e->conf->has_teams)
+		key = tkey_check(e->conf, route, &credential, &team);
+	if (key != TKEY_ALLOWED) {
+		ctr_add(CTR_REFUSED_KEY, 1);
+		return refuse_unrouted(e, caller, head, 401, tkey_reason(key));
+	}
 	h = add_request(e, caller, head, start_ns, deadline_ns);
 	r = req_get(e, h);
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
+	set_team(e, r, team);
 	count_request(e, r);
 	return h;
 }
 
+/* Checks a request that arrived before the first configuration; false if it
+ * was refused. */
+static bool identify_team(struct edge *e, struct req_row *r,
+			  const struct conf_route *route)
+{
+	const struct conf_team *team = NULL;
+	enum tkey_result key;
+
+	if (!e->conf->has_teams) {
+		if (!r->has_team_fields)
+			return true;
+		/* They belong to the request here, and were not kept. */
+		req_refuse(e, r, 503, "credentials not kept");
+		return false;
+	}
+	key = tkey_check(e->conf, route, &r->credential, &team);
+	if (key == TKEY_ALLOWED) {
+		set_team(e, r, team);
+		return true;
+	}
+	ctr_add(CTR_REFUSED_KEY, 1);
+	req_refuse(e, r, 401, tkey_reason(key));
+	return false;
+}
+
 static bool is_body_buffered(const struct req_row *r)
 {
 	return r->body_done || r->body.len > BODY_BUFFER_BYTES;
@@ -306,6 +376,8 @@
 			   no_route_reason(found));
 		return;
 	}
+	if (!identify_team(e, r, route))
+		return;
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
 	count_request(e, r);
@@ -426,7 +498,7 @@
 						: r->expires_ns - r->start_ns,
 		.time_left_ns = r->expires_ns - now,
 		.mean_latency_ns = req_mean_latency_ns(e, r),
-		.priority = r->priority,
+		.priority = r->team ? r->team_priority : r->priority,
 	};
 }
 
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -3,14 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "http_request.h"
 #include "store_sync.h"
 
-#define STATE_FORMAT 2
+#define STATE_FORMAT 3
 #define CHANGE_FIELDS 12
-#define ROUTE_FIELDS 9
+#define ROUTE_FIELDS 10
 #define SERVICE_FIELDS 3
 #define STATE_FIELDS 6
-#define CONF_FIELDS 7
+#define CONF_FIELDS 9
+#define TEAM_FIELDS 5
 #define CONFIG_FIELDS 3
 #define LEAVING_FIELDS 2
 /* Bounds on the counts and lengths that a message may declare. */
@@ -18,6 +20,8 @@
 #define MAX_ROUTES 100000
 #define MAX_SERVICES 20000
 #define MAX_DESTS 256
+#define MAX_TEAMS 100000
+#define MAX_TEAM_KEYS 1000
 #define MAX_NAME_BYTES 1024
 /* Upper bounds of encoded sizes, to size the buffer; the strings of routes and
  * services are added. */
@@ -25,6 +29,8 @@
 #define ROUTE_BYTES 160
 #define DEST_BYTES 16
 #define SERVICE_BYTES 128
+#define TEAM_BYTES 64
+#define TEAM_KEY_BYTES (CONF_KEY_HASH_BYTES + 2)
 #define STATE_BYTES 256
 #define LEAVING_BYTES 20
 
@@ -115,6 +121,7 @@
 	mpk_put_int(out, r->objective_ns);
 	mpk_put_uint(out, r->max_attempts);
 	mpk_put_uint(out, r->priority);
+	mpk_put_uint(out, r->is_public);
 	mpk_put_array(out, r->dest_count * 2);
 	for (i = 0; i < r->dest_count; i++) {
 		mpk_put_uint(out, c->dests[r->first_dest + i].service);
@@ -137,6 +144,7 @@
 	r.objective_ns = (int64_t)mpk_get_uint(in, 0, INT64_MAX);
 	r.max_attempts = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 	r.priority = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	r.is_public = mpk_get_uint(in, 0, 1);
 	count = mpk_get_array_len(in, MAX_DESTS * 2) / 2;
 	for (i = 0; i < count; i++) {
 		dests[i].service = mpk_get_uint(in, 0, UINT64_MAX);
@@ -146,6 +154,57 @@
 		conf_add_route(c, &r, dests, count);
 }
 
+static void put_team(struct mpk_writer *out, const struct conf *c,
+		     uint32_t team)
+{
+	const struct conf_team *t = &c->teams[team];
+	uint32_t i, count = 0;
+
+	for (i = 0; i < c->team_key_count; i++)
+		count += c->team_keys[i].team == team;
+	mpk_put_array(out, TEAM_FIELDS);
+	mpk_put_str(out, t->name);
+	mpk_put_uint(out, t->priority);
+	mpk_put_uint(out, t->rate_per_s);
+	mpk_put_uint(out, t->burst);
+	mpk_put_array(out, count);
+	for (i = 0; i < c->team_key_count; i++)
+		if (c->team_keys[i].team == team)
+			mpk_put_bin(
+				out,
+				(struct str){(const char *)c->team_keys[i].hash,
+					     CONF_KEY_HASH_BYTES});
+}
+
+static void get_team(struct mpk_reader *in, struct conf *c)
+{
+	struct conf_team t = {.name = STR_NONE};
+	uint32_t i, n, team;
+
+	mpk_expect_array(in, TEAM_FIELDS);
+	t.name = mpk_get_str(in, MAX_NAME_BYTES);
+	t.priority = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	t.rate_per_s = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	t.burst = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
+	n = mpk_get_array_len(in, MAX_TEAM_KEYS);
+	if (!hreq_is_field_value(t.name))
+		in->failed = true;
+	if (in->failed)
+		return;
+	team = conf_add_team(c, &t);
+	for (i = 0; i < n && !in->failed; i++) {
+		struct str hash = mpk_get_bin(in, CONF_KEY_HASH_BYTES);
+		struct conf_team_key key = {.team = team};
+
+		if (hash.len != CONF_KEY_HASH_BYTES) {
+			in->failed = true;
+			return;
+		}
+		memcpy(key.hash, hash.ptr, sizeof(key.hash));
+		conf_add_team_key(c, &key);
+	}
+}
+
 static void put_conf(struct mpk_writer *out, const struct conf *c)
 {
 	uint32_t i;
@@ -166,6 +225,10 @@
 	mpk_put_array(out, c->route_count);
 	for (i = 0; i < c->route_count; i++)
 		put_route(out, c, &c->routes[i]);
+	mpk_put_uint(out, c->has_teams);
+	mpk_put_array(out, c->team_count);
+	for (i = 0; i < c->team_count; i++)
+		put_team(out, c, i);
 }
 
 static struct conf *get_conf(struct mpk_reader *in)
@@ -192,6 +255,10 @@
 	n = mpk_get_array_len(in, MAX_ROUTES);
 	for (i = 0; i < n && !in->failed; i++)
 		get_route(in, c);
+	c->has_teams = mpk_get_uint(in, 0, 1);
+	n = mpk_get_array_len(in, MAX_TEAMS);
+	for (i = 0; i < n && !in->failed; i++)
+		get_team(in, c);
 	if (!in->failed)
 		return c;
 	conf_free(c);
@@ -214,6 +281,9 @@
 	for (i = 0; i < e->conf->service_count; i++)
 		size += SERVICE_BYTES + e->conf->services[i].name.len +
 			e->conf->services[i].health_path.len;
+	for (i = 0; i < e->conf->team_count; i++)
+		size += TEAM_BYTES + e->conf->teams[i].name.len;
+	size += (size_t)e->conf->team_key_count * TEAM_KEY_BYTES;
 	return size;
 }
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -7,6 +7,8 @@
 	[CTR_REQUESTS] = {"requests", "Requests received from callers."},
 	[CTR_ANSWERED] = {"answered", "Requests answered in full."},
 	[CTR_REFUSED] = {"refused", "Requests refused as not run."},
+	[CTR_REFUSED_KEY] = {"refused_key",
+			     "Requests refused without the key of a team."},
 	[CTR_UNKNOWN] = {"unknown", "Requests with an unknown outcome."},
 	[CTR_TRUNCATED] = {"cut",
 			   "Answers that ended before they were complete."},
--- a/tests/test_edge_framing.c
+++ b/tests/test_edge_framing.c
@@ -68,6 +68,8 @@
 	int pause_ms;
 	/* The VM knows its servers only from the second part on. */
 	bool starting;
+	/* The configuration has a team, "acme", with the key "k1". */
+	bool teams;
 };
 
 /* The rules for a caller's input after an early response. */
@@ -256,6 +258,59 @@
 	 NULL, END_NONE, "", "400"},
 };
 
+#define KEY(key) "Authorization: Bearer " key "\r\n"
+#define AS_ACME(id) "POST /x X-Request-Id=" id " X-Team=acme [x];"
+#define PUBLIC(id, fields)                      \
+	"POST /open/x HTTP/1.1\r\n" HOST ID(id) \
+	fields LENGTH(1) "\r\nx"
+#define RAN_PUBLIC(id) "POST /open/x X-Request-Id=" id " [x];"
+#define XPOST(id, fields) POST(id, fields LENGTH(1)) "x"
+
+/* What a server gets of a key and of a team's name. */
+static const struct framing_case team_cases[] = {
+	{"key", SERVE_WHOLE, XPOST("a", KEY("k1")), 0, NULL, END_NONE,
+	 AS_ACME("a"), "200", 0, false, true},
+	{"key in other case", SERVE_WHOLE,
+	 XPOST("a", "AUTHORIZATION:bearer  k1 \r\n"), 0, NULL, END_NONE,
+	 AS_ACME("a"), "200", 0, false, true},
+	{"key and name listed in Connection", SERVE_WHOLE,
+	 XPOST("a", KEY("k1") LISTED("authorization, X-Team")), 0, NULL,
+	 END_NONE, AS_ACME("a"), "200", 0, false, true},
+	{"names of the caller", SERVE_WHOLE,
+	 XPOST("a", "x-team: b\r\n" KEY("k1") "X-TEAM: acme\r\nX-Team:\r\n"), 0,
+	 NULL, END_NONE, AS_ACME("a"), "200", 0, false, true},
+	{"no key, body like a request", SERVE_WHOLE,
+	 POST("a", LENGTH(28)) LIKE_REQUEST XPOST("b", KEY("k1")), 0, NULL,
+	 END_NONE, AS_ACME("b"), "401 200", 0, false, true},
+	{"unknown key, chunks", SERVE_WHOLE,
+	 POST("a", KEY("k2") CHUNKED) "1\r\n", 1,
+	 "\r\n0\r\n\r\n" XPOST("b", KEY("k1")), END_NONE, AS_ACME("b"),
+	 "401 200", 0, false, true},
+	{"two keys", SERVE_WHOLE, XPOST("a", KEY("k1") KEY("k1")), 0, NULL,
+	 END_NONE, "", "401", 0, false, true},
+	{"other scheme", SERVE_WHOLE, XPOST("a", "Authorization: Basic k1\r\n"),
+	 0, NULL, END_NONE, "", "401", 0, false, true},
+	{"public route", SERVE_WHOLE,
+	 PUBLIC("a", KEY("k2") "X-Team: acme\r\n") PUBLIC("b", KEY("k1")), 0,
+	 NULL, END_NONE, RAN_PUBLIC("a") RAN_PUBLIC("b"), "200 200", 0, false,
+	 true},
+	{"key before the first configuration", SERVE_WHOLE,
+	 XPOST("a", "X-Team: b\r\n" KEY("k1")), 0, "", END_NONE, AS_ACME("a"),
+	 "200", 0, true, true},
+	{"unknown key before the first configuration", SERVE_WHOLE,
+	 XPOST("a", KEY("k2")), 0, "", END_NONE, "", "401", 0, true, true},
+	{"no key before the first configuration", SERVE_WHOLE, XPOST("a", ""),
+	 0, "", END_NONE, "", "401", 0, true, true},
+	{"public route before the first configuration", SERVE_WHOLE,
+	 PUBLIC("a", KEY("k1")), 0, "", END_NONE, RAN_PUBLIC("a"), "200", 0,
+	 true, true},
+	{"no teams", SERVE_WHOLE, XPOST("a", KEY("k1") "X-Team: b\r\n"), 0,
+	 NULL, END_NONE,
+	 "POST /x X-Request-Id=a Authorization=Bearer k1 X-Team=b [x];", "200"},
+	{"no teams, before the first configuration", SERVE_WHOLE,
+	 XPOST("a", KEY("k1")), 0, "", END_NONE, "", "503", 0, true},
+};
+
 static struct edge e;
 static struct sfix fix;
 static int server_fds[MAX_SERVER_CONNS];
@@ -594,6 +649,20 @@
 	strbuf_free(&responses);
 }
 
+static void add_team(struct conf *c)
+{
+	struct conf_route open = c->routes[0];
+	struct conf_dest dest = c->dests[0];
+	struct conf_team team = {.name = STR("acme")};
+	struct conf_team_key key = {.team = conf_add_team(c, &team)};
+
+	open.prefix = STR("/open/");
+	open.is_public = true;
+	conf_add_route(c, &open, &dest, 1);
+	tkey_hash(STR("k1"), key.hash);
+	conf_add_team_key(c, &key);
+}
+
 static void run_case(const struct framing_case *f, size_t split)
 {
 	struct caller c = {.end = EAGAIN};
@@ -601,6 +670,8 @@
 
 	sfix_start(&fix, &e, CONF_UPLOAD);
 	e.servers_known = !f->starting;
+	if (f->teams)
+		add_team(e.conf);
 	e.conf->limits.max_body_bytes = MAX_BODY_BYTES;
 	server_count = 0;
 	strbuf_init(&runs);
@@ -669,6 +740,14 @@
 	run_cases(head_cases, COUNT(head_cases));
 }
 
+/* Guards against a key that reaches a server, a team's name that a caller
+ * chooses, and a request that runs without a key. */
+static void test_teams(void **state)
+{
+	(void)state;
+	run_cases(team_cases, COUNT(team_cases));
+}
+
 /* Guards against a connection that a caller keeps open for ever by sending more
  * after its request was refused. */
 static void test_refused_caller_goes_on(void **state)
@@ -700,6 +779,7 @@
 		cmocka_unit_test(test_fields),
 		cmocka_unit_test(test_ends),
 		cmocka_unit_test(test_heads),
+		cmocka_unit_test(test_teams),
 		cmocka_unit_test(test_refused_caller_goes_on),
 	};
 
--- a/tests/test_edge_state.c
+++ b/tests/test_edge_state.c
@@ -612,9 +612,15 @@
 		.objective_ns = 6,
 		.max_attempts = 2,
 		.priority = 3,
+		.is_public = true,
 	};
 	struct conf_service service = {
 		.name = STR("s"), .health_path = STR("/h"), .max_conns = 9};
+	struct conf_team teams[2] = {
+		{.name = STR("acme"), .priority = 2},
+		{.name = STR("zeta"), .rate_per_s = 7, .burst = 8}};
+	struct conf_team_key key;
+	const struct conf_team *team;
 	const struct conf_route *got;
 	struct strbuf bytes;
 	struct conf *c = new_conf(4);
@@ -623,6 +629,11 @@
 	(void)state;
 	conf_add_route(c, &route, dests, 2);
 	conf_add_service(c, &service);
+	for (len = 0; len < 2; len++) {
+		key.team = conf_add_team(c, &teams[len]);
+		tkey_hash(teams[len].name, key.hash);
+		conf_add_team_key(c, &key);
+	}
 	fix_init(&e);
 	fix_server(&e, "i-0", "z0")->state = SRV_DRAINING;
 	edge_set_conf(&e, c);
@@ -646,6 +657,15 @@
 	assert_int_equal(got->kind, CONF_UPLOAD);
 	assert_int_equal(got->priority, 3);
 	assert_int_equal(got->dest_count, 2);
+	assert_true(got->is_public);
+	assert_true(e.conf->has_teams);
+	assert_int_equal(tkey_find(e.conf, key.hash)->burst, 8);
+	assert_int_equal(tkey_find(e.conf, key.hash)->rate_per_s, 7);
+	tkey_hash(STR("acme"), key.hash);
+	team = tkey_find(e.conf, key.hash);
+	assert_true(str_eq(team->name, STR("acme")));
+	assert_int_equal(team->priority, 2);
+	assert_ptr_equal(conf_find_team(e.conf, team->key), team);
 	assert_int_equal(e.conf->dests[got->first_dest + 1].weight, 10);
 	assert_int_equal(e.conf->services[0].max_conns, 9);
 	assert_int_equal(srv_find(&e, edge_key(STR("i-0")), NULL)->state,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -92,6 +92,9 @@
 #define RULE(kind, action)                                                     \
 	"{\"name\":\"r\",\"kind\":\"" kind "\",\"slo\":\"1s\",\"priority\":1," \
 	"\"match\":{\"prefix\":\"/p/\"},\"action\":{" action "}}"
+#define TEAMS(list)                                                             \
+	"{\"version\":\"r12\",\"listeners\":[{\"host\":\"h\",\"rules\":[" RULE( \
+		"safe", ACTION) "]}],\"clusters\":[],\"tenants\":" list "}"
 #define ACTION "\"service\":\"s\",\"timeout\":\"4s\",\"attempts\":2"
 
 /* Guards against a configuration that is applied in part, and against requests
@@ -129,6 +132,21 @@
 			RULE("safe", "\"traffic_split\":[{\"service\":\"s\","
 				     "\"weight\":\"9\"}],\"attempts\":2")),
 		 "weight"},
+		{"team",
+		 TEAMS("[{\"name\":\"t\",\"api_keys\":[\"k\"],"
+		       "\"priority\":1,\"rate_per_s\":2.5}]"),
+		 NULL, CONF_SAFE, 1},
+		{"no teams", TEAMS("[]"), NULL, CONF_SAFE, 1},
+		{"teams as object", TEAMS("{}"), "tenants"},
+		{"team without keys", TEAMS("[{\"name\":\"t\"}]"), "api_keys"},
+		{"key as number", TEAMS("[{\"name\":\"t\",\"api_keys\":[1]}]"),
+		 "api_keys"},
+		{"team's name with a line break",
+		 TEAMS("[{\"name\":\"t\\r\\n\",\"api_keys\":[]}]"), "name"},
+		{"negative rate",
+		 TEAMS("[{\"name\":\"t\",\"api_keys\":[],"
+		       "\"rate_per_s\":-1}]"),
+		 "rate_per_s"},
 		{"no routes", "{\"version\":\"r1\"}", "listeners"},
 		{"truncated", "{\"version\":\"r1\",", "JSON"},
 	};
