Quotas of teams over the whole fleet

Change: team_quota keeps one estimated token bucket a team and VM, and shares by demand once it is empty. quota_reports sends cumulative counts to the region each second, each 250 ms for teams that are short of tokens, and sums to other regions. A request is counted when it is first dispatched, again if it then waited over 500 ms, and its token goes back if no server can have run it. Beyond the quota callers get 429 with Retry-After. New settings quota_window, quota_overage and quota_slack.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -17,6 +17,7 @@
 #include "logs.h"
 #include "edge_membership.h"
 #include "edge_messages.h"
+#include "quota_reports.h"
 #include "request.h"
 #include "settings_reload.h"
 #include "state_fetch.h"
@@ -69,6 +70,7 @@
 		   4);
 	conf_free(e->conf);
 	e->conf = conf;
+	quota_set_conf(&e->quota, conf, e->ev.now_ns);
 }
 
 struct svc_row *edge_service(struct edge *e, uint64_t key)
@@ -153,6 +155,7 @@
 	tab_init(&e->vms, sizeof(struct vm_row));
 	tab_init(&e->calls, sizeof(struct call_row));
 	tab_init(&e->region_services, sizeof(struct region_service_row));
+	quota_init(&e->quota, &(struct quota_opts){.now_ns = e->ev.now_ns});
 	idx_init(&e->service_by_key);
 	idx_init(&e->region_service_by_key);
 	idx_init(&e->server_by_key);
@@ -171,6 +174,7 @@
 	tab_free(&e->vms);
 	tab_free(&e->calls);
 	tab_free(&e->region_services);
+	quota_free(&e->quota);
 	idx_free(&e->service_by_key);
 	idx_free(&e->region_service_by_key);
 	idx_free(&e->server_by_key);
@@ -198,6 +202,7 @@
 	e->self = edge_key(e->settings.id);
 	randombytes_buf(&e->random_state, sizeof(e->random_state));
 	e->random_state |= 1;
+	qrep_init(e);
 	return ERR_OK;
 }
 
@@ -240,6 +245,7 @@
 	if (lsn_start(e) || emsg_start(e))
 		return ERR_IO;
 	load_start(e);
+	qrep_start(e);
 	rset_start(e);
 	fetch_start(e);
 	return e->ops.start(e->ops.ctx);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -11,6 +11,7 @@
 #include "store_availability.h"
 #include "sync_ops.h"
 #include "team_key.h"
+#include "team_quota.h"
 
 #define EDGE_ID_BYTES 72
 /* Backend servers that a request remembers as tried. */
@@ -300,6 +301,12 @@
 	uint64_t team;
 	/* Goes before the priority of the route if there is a team. */
 	uint32_t team_priority;
+	/* When it was counted for the team's quota; 0 if it is not. */
+	int64_t quota_ns;
+	/* Retry-After of a refusal beyond the quota. */
+	int64_t retry_after_ns;
+	/* A server got a part of it, and has not rejected it as not run. */
+	bool may_be_running;
 	/* Until an unrouted request is routed. */
 	struct tkey_credential credential;
 	/* Fields that identify a team were left out of the head. */
@@ -471,6 +478,8 @@
 	/* Calls to the store and to other VMs. */
 	struct tab calls;
 	struct tab region_services;
+	/* Quotas of teams. */
+	struct quota quota;
 	/* This VM knows the retries that VMs sent before it started. */
 	bool budget_known;
 	/* Last load report to the VMs of this zone, which get more reports
--- a/src/edge/edge_messages_internal.h
+++ b/src/edge/edge_messages_internal.h
@@ -29,7 +29,11 @@
 	EMSG_EJECTION,
 	/* A server said that it is leaving; forwarded likewise. */
 	EMSG_LEAVING,
-	EMSG_LAST = EMSG_LEAVING,
+	/* Counts of teams of the sender. */
+	EMSG_QUOTA,
+	/* Counts of teams of the sender's region; forwarded likewise. */
+	EMSG_QUOTA_REGION,
+	EMSG_LAST = EMSG_QUOTA_REGION,
 };
 
 struct emsg_datagram {
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -113,6 +113,8 @@
 READER(ttl, duration, address_ttl_ns)
 READER(window, duration, retry_window_ns)
 READER(ratio, permille, retry_permille)
+READER(quota_window, duration, quota_window_ns)
+READER(overage, permille, quota_overage_permille)
 READER(floor, permille, floor_permille)
 
 static void read_seed(struct cfg_doc *doc, struct json_object *v, void *out)
@@ -197,6 +199,10 @@
 	{"retry_slack", CFG_INT, offsetof(struct eset, retry_slack), 0,
 	 1000000},
 	{"retry_window", CFG_CUSTOM, 0, .read = read_window},
+	{"quota_window", CFG_CUSTOM, 0, .read = read_quota_window},
+	{"quota_overage", CFG_CUSTOM, 0, .read = read_overage},
+	{"quota_slack", CFG_INT, offsetof(struct eset, quota_slack), 0,
+	 1000000},
 	{"first_start", CFG_BOOL, offsetof(struct eset, first_start)},
 	{"floor", CFG_CUSTOM, 0, .read = read_floor},
 	{"log_level", CFG_ENUM, offsetof(struct eset, log_level), 0, 0, false,
@@ -216,6 +222,9 @@
 	s->retry_permille = 100;
 	s->retry_slack = 10;
 	s->retry_window_ns = 10 * NS_PER_S;
+	s->quota_window_ns = 5 * NS_PER_S;
+	s->quota_overage_permille = 100;
+	s->quota_slack = 20;
 	s->floor_permille = 700;
 	s->log_level = LOGS_INFO;
 	s->link_mbps = DEFAULT_LINK_MBPS;
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -50,6 +50,11 @@
 	/* Retries of the whole fleet in each window beyond that ratio. */
 	int64_t retry_slack;
 	int64_t retry_window_ns;
+	/* Limit of a team in a window over all VMs: rate and burst, times 1
+	 * plus the overage, plus the slack. */
+	int64_t quota_window_ns;
+	int64_t quota_overage_permille;
+	int64_t quota_slack;
 	/* The fleet starts for the first time: there were no retries before. */
 	bool first_start;
 	/* Floor: minimum share of a service's servers that stays in use, in
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -26,6 +26,10 @@
 #define QUEUE_RECHECK_NS (30 * NS_PER_MS)
 /* The same while all servers are busy. */
 #define BUSY_RECHECK_NS (150 * NS_PER_MS)
+/* A request that has waited longer since it was counted for its team's quota
+ * is counted again when it is sent: what the quota allowed over a long time
+ * must not reach servers at once. */
+#define QUOTA_RECOUNT_NS (500 * NS_PER_MS)
 /* Time after the start of a VM in which requests wait for the first
  * configuration, which usually arrives within half a second. */
 #define FIRST_CONF_WAIT_NS NS_PER_S
@@ -72,8 +76,16 @@
 		11);
 }
 
+static void give_quota_back(struct edge *e, struct req_row *r)
+{
+	if (r->quota_ns && !r->may_have_run && !r->may_be_running)
+		quota_give_back(&e->quota, r->team, e->ev.now_ns);
+	r->quota_ns = 0;
+}
+
 void req_finish(struct edge *e, struct req_row *r)
 {
+	give_quota_back(e, r);
 	bconn_cancel(e, r->backend_conn);
 	r->backend_conn = HND_NONE;
 	r->state = REQ_DONE;
@@ -92,6 +104,8 @@
 		.random_bits = edge_random(e),
 	};
 
+	if (status == 429 && req)
+		return req->retry_after_ns;
 	if (status != 503)
 		return 0;
 	if (e->leaving)
@@ -323,6 +337,7 @@
 	set_route(e, r, route);
 	set_team(e, r, team);
 	count_request(e, r);
+	quota_count_asked(&e->quota, r->team, e->ev.now_ns);
 	return h;
 }
 
@@ -381,6 +396,7 @@
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
 	count_request(e, r);
+	quota_count_asked(&e->quota, r->team, e->ev.now_ns);
 	if (is_body_buffered(r))
 		req_dispatch(e, h);
 }
@@ -444,6 +460,7 @@
 	r->state = REQ_SENT;
 	r->sent_ns = e->ev.now_ns;
 	r->sends++;
+	r->may_be_running = true;
 	bconn_send(e, r->backend_conn, strbuf_view(&out), r->body_done);
 	strbuf_free(&out);
 }
@@ -487,6 +504,53 @@
 	req_refuse(e, r, r->may_have_run ? 502 : 503, why);
 }
 
+static void log_quota_refusal(const struct edge *e, const struct req_row *r,
+			      const struct quota_decision *d)
+{
+	const struct conf_team *team = conf_find_team(e->conf, r->team);
+
+	logs_event(
+		LOGS_INFO, "quota",
+		(struct logs_field[]){
+			LOGS_STR("request", strbuf_view(&r->id)),
+			LOGS_STR("team", team ? team->name : STR_NONE),
+			LOGS_INT("fill", (int64_t)d->fill),
+			LOGS_INT("share_permille", (int64_t)(d->share * 1000)),
+			LOGS_INT("demand_per_s", (int64_t)d->demand_per_s),
+		},
+		5);
+}
+
+/* Counts the request for its team's quota, once; false if it was refused as
+ * beyond the quota. */
+static bool take_quota(struct edge *e, struct req_row *r)
+{
+	struct quota_decision d;
+
+	if (!r->team || r->quota_ns)
+		return true;
+	d = quota_take(&e->quota, r->team, e->ev.now_ns);
+	if (d.allowed) {
+		r->quota_ns = e->ev.now_ns;
+		return true;
+	}
+	log_quota_refusal(e, r, &d);
+	ctr_add(CTR_REFUSED_QUOTA, 1);
+	r->retry_after_ns = d.retry_after_ns;
+	req_refuse(e, r, 429, "beyond the quota");
+	return false;
+}
+
+/* The same for a request that has waited since then; it is not sent yet. */
+static bool retake_quota(struct edge *e, struct req_row *r)
+{
+	if (!r->quota_ns || r->sends ||
+	    e->ev.now_ns - r->quota_ns < QUOTA_RECOUNT_NS)
+		return true;
+	give_quota_back(e, r);
+	return take_quota(e, r);
+}
+
 static struct admit_request make_admit_request(struct edge *e,
 					       const struct req_row *r)
 {
@@ -549,6 +613,8 @@
 		req_give_up(e, r, "VM is stopping");
 		return;
 	}
+	if (!take_quota(e, r))
+		return;
 	pick = pick_server(e, r, admit_max_load(&admission));
 	if (pick.result == PICK_FULL) {
 		enqueue(r, recheck_time(e, pick.busy_until_ns));
@@ -562,6 +628,8 @@
 	admission.load = pick.load;
 	if (!pick.trial && !admit(e, r, &admission))
 		return;
+	if (!retake_quota(e, r))
+		return;
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
 	r->server_generation = s->generation;
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -139,6 +139,7 @@
 	struct req_row *r = req_get(e, h);
 	struct srv_row *s = req_server(e, r);
 
+	r->may_be_running = false;
 	req_report_outcome(e, r, status == 421 ? HLTH_REPLACED : HLTH_FULL);
 	if (s)
 		s->full_until_ns = e->ev.now_ns + FULL_BACKOFF_NS;
@@ -307,6 +308,7 @@
 		return;
 	r->backend_conn = HND_NONE;
 	r->may_have_run |= may_have_run;
+	r->may_be_running = false;
 	req_log(e, r, "broken", why, may_have_run);
 	req_report_outcome(e, r, outcome);
 	if (r->state == REQ_RELAYING) {
--- a/src/edge/settings_reload.c
+++ b/src/edge/settings_reload.c
@@ -81,6 +81,9 @@
 	       a->retry_permille == b->retry_permille &&
 	       a->retry_slack == b->retry_slack &&
 	       a->retry_window_ns == b->retry_window_ns &&
+	       a->quota_window_ns == b->quota_window_ns &&
+	       a->quota_overage_permille == b->quota_overage_permille &&
+	       a->quota_slack == b->quota_slack &&
 	       a->floor_permille == b->floor_permille &&
 	       a->log_level == b->log_level && a->link_mbps == b->link_mbps &&
 	       same_zones(a, b) && same_seeds(a, b);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -9,6 +9,8 @@
 	[CTR_REFUSED] = {"refused", "Requests refused as not run."},
 	[CTR_REFUSED_KEY] = {"refused_key",
 			     "Requests refused without the key of a team."},
+	[CTR_REFUSED_QUOTA] = {"refused_quota",
+			       "Requests refused beyond their team's quota."},
 	[CTR_UNKNOWN] = {"unknown", "Requests with an unknown outcome."},
 	[CTR_TRUNCATED] = {"cut",
 			   "Answers that ended before they were complete."},
