Quotas: count the VMs of other regions by their region

A VM counts another as alive if it was seen within 5 s; gossip brings the records of another region more rarely than that, so that part of the fleet was taken to be lost and its part of the rate was not used. After a start, the peers' requests were also taken from the VM's own part of the bucket.

Change: of a region that is heard, as many VMs are taken to be alive as of the own one. Until the demand is known, peers' requests do not count.

--- a/src/edge/quota_reports.c
+++ b/src/edge/quota_reports.c
@@ -13,9 +13,27 @@
 	};
 }
 
+static bool is_region_heard(const struct edge *e, uint64_t region)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->vms.len; i++) {
+		const struct vm_row *vm = tab_at(&e->vms, i);
+
+		if (vm->region == region && vm_is_alive(e, vm))
+			return true;
+	}
+	return false;
+}
+
+/* Gossip tells of a VM of another region too rarely to say whether it is alive:
+ * of a region that is heard, as many are taken to be as of this one. */
 static struct quota_members members(const struct edge *e)
 {
 	struct quota_members m = {.vms = 0};
+	uint32_t own = 0, others = 0;
+	uint64_t region = 0;
+	bool heard = false;
 	uint32_t i;
 
 	for (i = 0; i < e->vms.len; i++) {
@@ -24,10 +42,19 @@
 		if (vm->state == VM_LEAVING && vm->key != e->self)
 			continue;
 		m.vms++;
-		m.alive += vm_is_alive(e, vm);
 		if (vm->key != e->self && vm->last_seen_ns > m.heard_ns)
 			m.heard_ns = vm->last_seen_ns;
+		if (vm->region == e->region) {
+			own++;
+			m.alive += vm_is_alive(e, vm);
+			continue;
+		}
+		if (vm->region != region)
+			heard = is_region_heard(e, vm->region);
+		region = vm->region;
+		others += heard;
 	}
+	m.alive += others * m.alive / (own ? own : 1);
 	if (m.vms < e->settings.seed_count)
 		m.vms = (uint32_t)e->settings.seed_count;
 	return m;
--- a/src/edge/team_quota.c
+++ b/src/edge/team_quota.c
@@ -455,7 +455,9 @@
 			t->region.run += (uint32_t)run;
 			t->region.asked += (uint32_t)asked;
 		}
-		t->fill -= run;
+		/* Until then the bucket is this VM's own part. */
+		if (is_known(q, now_ns))
+			t->fill -= run;
 		t->peers_run = fmax(0, t->peers_run + run);
 		count_asked(t, asked);
 		cap_fill(q, t, now_ns);
