--- a/src/edge/header_names.h
+++ b/src/edge/header_names.h
@@ -26,6 +26,12 @@
 	struct str server_leaving;
 	/* In a response of the store: its era; see store_era.h. */
 	struct str store_era;
+	/* In a request: key of the caller's team, as a bearer token. With teams
+	 * in the configuration, it is not forwarded. */
+	struct str authorization;
+	/* In a request to a backend server: name of the caller's team. With
+	 * teams in the configuration, callers' values are removed. */
+	struct str team;
 };
 
 /* Names of currantpaddle's own protocol, for use without a platform. */
@@ -33,6 +39,8 @@
 
 /* True for a name to which the platform gives a meaning. */
 bool hdr_is_known(const struct hdr_names *names, struct str name);
+/* True for a field that identifies the caller's team. */
+bool hdr_is_of_team(const struct hdr_names *names, struct str name);
 
 /* Listeners of an edge process. */
 enum edge_listener {
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -12,6 +12,7 @@
 #include "graceful_stop.h"
 #include "request_check.h"
 #include "request_internal.h"
+#include "team_key.h"
 
 /* A body up to this size is buffered before a server is chosen, so that the
  * request can be retried where that is allowed. */
@@ -25,6 +26,10 @@
 #define QUEUE_RECHECK_NS (30 * NS_PER_MS)
 /* The same while all servers are busy. */
 #define BUSY_RECHECK_NS (150 * NS_PER_MS)
+/* A request that has waited longer since it was counted for its team's quota
+ * is counted again when it is sent: what the quota allowed over a long time
+ * must not reach servers at once. */
+#define QUOTA_RECOUNT_NS (500 * NS_PER_MS)
 /* Time after the start of a VM in which requests wait for the first
  * configuration, which usually arrives within half a second. */
 #define FIRST_CONF_WAIT_NS NS_PER_S
@@ -71,8 +76,16 @@
 		11);
 }
 
+static void give_quota_back(struct edge *e, struct req_row *r)
+{
+	if (r->quota_ns && !r->may_have_run && !r->may_be_running)
+		quota_give_back(&e->quota, r->team, e->ev.now_ns);
+	r->quota_ns = 0;
+}
+
 void req_finish(struct edge *e, struct req_row *r)
 {
+	give_quota_back(e, r);
 	bconn_cancel(e, r->backend_conn);
 	r->backend_conn = HND_NONE;
 	r->state = REQ_DONE;
@@ -91,6 +104,8 @@
 		.random_bits = edge_random(e),
 	};
 
+	if (status == 429 && req)
+		return req->retry_after_ns;
 	if (status != 503)
 		return 0;
 	if (e->leaving)
@@ -132,11 +147,19 @@
 	       !hreq_is_hop_by_hop(head, name);
 }
 
+/* True while fields that identify a team must not be passed on: also for an
+ * unrouted request, as the first configuration may have teams. */
+static bool guards_team_fields(const struct edge *e)
+{
+	return !edge_has_state(e) || e->conf->has_teams;
+}
+
 /* Builds the forwarded head without the fields that frame the body or that
  * differ between attempts. */
 static void build_head(const struct edge *e, struct req_row *r,
 		       const struct hreq *head)
 {
+	bool guard = guards_team_fields(e);
 	size_t i;
 
 	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\nHost: %.*s\r\n",
@@ -145,6 +168,10 @@
 	for (i = 0; i < head->field_count; i++) {
 		const struct hreq_field *f = &head->fields[i];
 
+		if (guard && hdr_is_of_team(e->headers, f->name)) {
+			r->has_team_fields = true;
+			continue;
+		}
 		if (is_end_to_end(e, head, f->name))
 			strbuf_addf(&r->head, "%.*s: %.*s\r\n",
 				    STR_FMT(f->name), STR_FMT(f->value));
@@ -165,6 +192,27 @@
 	r->objective_ns = route->objective_ns;
 }
 
+/* Two keys could be those of two teams: neither counts. */
+static struct tkey_credential read_credential(const struct edge *e,
+					      const struct hreq *head)
+{
+	if (hreq_count(head, e->headers->authorization) != 1)
+		return (struct tkey_credential){.present = false};
+	return tkey_read(hreq_header(head, e->headers->authorization));
+}
+
+static void set_team(struct edge *e, struct req_row *r,
+		     const struct conf_team *team)
+{
+	if (!team)
+		return;
+	r->team = team->key;
+	r->team_priority = team->priority;
+	if (e->headers->team.len)
+		strbuf_addf(&r->head, "%.*s: %.*s\r\n",
+			    STR_FMT(e->headers->team), STR_FMT(team->name));
+}
+
 static struct hnd refuse_unrouted(struct edge *e, struct hnd caller,
 				  const struct hreq *head, int status,
 				  const char *why)
@@ -249,6 +297,9 @@
 	enum chk_route found;
 	int64_t deadline_ns;
 	const char *fault;
+	struct tkey_credential credential = read_credential(e, head);
+	const struct conf_team *team = NULL;
+	enum tkey_result key = TKEY_ALLOWED;
 	struct req_row *r;
 	struct hnd h;
 
@@ -262,6 +313,7 @@
 		h = add_request(e, caller, head, start_ns, deadline_ns);
 		r = req_get(e, h);
 		r->state = REQ_UNROUTED;
+		r->credential = credential;
 		strbuf_addf(&r->destination, "%.*s %.*s", STR_FMT(head->host),
 			    STR_FMT(head->path));
 		return h;
@@ -273,14 +325,47 @@
 	if (found != CHK_ROUTE_FOUND)
 		return refuse_unrouted(e, caller, head, no_route_status(found),
 				       no_route_reason(found));
+	if (e->conf->has_teams)
+		key = tkey_check(e->conf, route, &credential, &team);
+	if (key != TKEY_ALLOWED) {
+		ctr_add(CTR_REFUSED_KEY, 1);
+		return refuse_unrouted(e, caller, head, 401, tkey_reason(key));
+	}
 	h = add_request(e, caller, head, start_ns, deadline_ns);
 	r = req_get(e, h);
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
+	set_team(e, r, team);
 	count_request(e, r);
+	quota_count_asked(&e->quota, r->team, e->ev.now_ns);
 	return h;
 }
 
+/* Checks a request that arrived before the first configuration; false if it
+ * was refused. */
+static bool identify_team(struct edge *e, struct req_row *r,
+			  const struct conf_route *route)
+{
+	const struct conf_team *team = NULL;
+	enum tkey_result key;
+
+	if (!e->conf->has_teams) {
+		if (!r->has_team_fields)
+			return true;
+		/* They belong to the request here, and were not kept. */
+		req_refuse(e, r, 503, "credentials not kept");
+		return false;
+	}
+	key = tkey_check(e->conf, route, &r->credential, &team);
+	if (key == TKEY_ALLOWED) {
+		set_team(e, r, team);
+		return true;
+	}
+	ctr_add(CTR_REFUSED_KEY, 1);
+	req_refuse(e, r, 401, tkey_reason(key));
+	return false;
+}
+
 static bool is_body_buffered(const struct req_row *r)
 {
 	return r->body_done || r->body.len > BODY_BUFFER_BYTES;
@@ -306,9 +391,12 @@
 			   no_route_reason(found));
 		return;
 	}
+	if (!identify_team(e, r, route))
+		return;
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
 	count_request(e, r);
+	quota_count_asked(&e->quota, r->team, e->ev.now_ns);
 	if (is_body_buffered(r))
 		req_dispatch(e, h);
 }
@@ -372,6 +460,7 @@
 	r->state = REQ_SENT;
 	r->sent_ns = e->ev.now_ns;
 	r->sends++;
+	r->may_be_running = true;
 	bconn_send(e, r->backend_conn, strbuf_view(&out), r->body_done);
 	strbuf_free(&out);
 }
@@ -415,6 +504,53 @@
 	req_refuse(e, r, r->may_have_run ? 502 : 503, why);
 }
 
+static void log_quota_refusal(const struct edge *e, const struct req_row *r,
+			      const struct quota_decision *d)
+{
+	const struct conf_team *team = conf_find_team(e->conf, r->team);
+
+	logs_event(
+		LOGS_INFO, "quota",
+		(struct logs_field[]){
+			LOGS_STR("request", strbuf_view(&r->id)),
+			LOGS_STR("team", team ? team->name : STR_NONE),
+			LOGS_INT("fill", (int64_t)d->fill),
+			LOGS_INT("share_permille", (int64_t)(d->share * 1000)),
+			LOGS_INT("demand_per_s", (int64_t)d->demand_per_s),
+		},
+		5);
+}
+
+/* Counts the request for its team's quota, once; false if it was refused as
+ * beyond the quota. */
+static bool take_quota(struct edge *e, struct req_row *r)
+{
+	struct quota_decision d;
+
+	if (!r->team || r->quota_ns)
+		return true;
+	d = quota_take(&e->quota, r->team, e->ev.now_ns);
+	if (d.allowed) {
+		r->quota_ns = e->ev.now_ns;
+		return true;
+	}
+	log_quota_refusal(e, r, &d);
+	ctr_add(CTR_REFUSED_QUOTA, 1);
+	r->retry_after_ns = d.retry_after_ns;
+	req_refuse(e, r, 429, "beyond the quota");
+	return false;
+}
+
+/* The same for a request that has waited since then; it is not sent yet. */
+static bool retake_quota(struct edge *e, struct req_row *r)
+{
+	if (!r->quota_ns || r->sends ||
+	    e->ev.now_ns - r->quota_ns < QUOTA_RECOUNT_NS)
+		return true;
+	give_quota_back(e, r);
+	return take_quota(e, r);
+}
+
 static struct admit_request make_admit_request(struct edge *e,
 					       const struct req_row *r)
 {
@@ -426,7 +562,7 @@
 						: r->expires_ns - r->start_ns,
 		.time_left_ns = r->expires_ns - now,
 		.mean_latency_ns = req_mean_latency_ns(e, r),
-		.priority = r->priority,
+		.priority = r->team ? r->team_priority : r->priority,
 	};
 }
 
@@ -477,6 +613,8 @@
 		req_give_up(e, r, "VM is stopping");
 		return;
 	}
+	if (!take_quota(e, r))
+		return;
 	pick = pick_server(e, r, admit_max_load(&admission));
 	if (pick.result == PICK_FULL) {
 		enqueue(r, recheck_time(e, pick.busy_until_ns));
@@ -490,6 +628,8 @@
 	admission.load = pick.load;
 	if (!pick.trial && !admit(e, r, &admission))
 		return;
+	if (!retake_quota(e, r))
+		return;
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
 	r->server_generation = s->generation;
