Fair queue: share the tags of teams between both programs

The admission of entry VMs held start-time fair queueing by team inline; edge VMs need the same for requests that wait for a slot. The tags move to fair_queue, with the virtual time of each service. Behaviour is unchanged.

--- a/src/admission.c
+++ b/src/admission.c
@@ -8,6 +8,7 @@
 #include "claim.h"
 #include "outlier_detection.h"
 #include "drain.h"
+#include "fair_queue.h"
 #include "holder_shares.h"
 #include "region_link.h"
 #include "retry_budget.h"
@@ -16,29 +17,18 @@
 #define QUEUE_CHECK_INTERVAL_NS (10 * NS_PER_MS)
 /* Virtual time that one request takes in fair queueing. */
 #define QUEUE_TAG_STEP 1000
-/* 2^64 divided by the golden ratio, for multiplicative hashing. */
-#define HASH_MULTIPLIER 0x9e3779b97f4a7c15
-/* Idle teams are evicted when there are more. */
-#define MAX_TEAMS 1024
 /* Longer Retry-After times of backend servers are reduced to this. */
 #define MAX_RETRY_AFTER_NS (60 * NS_PER_S)
 /* A new sample changes a moving average by this part of the difference. */
 #define AVG_DIVISOR 8
 
 /*
- * Start-time fair queueing between teams: a request's queue_tag is one step
- * after the last one of its team, or after the virtual time of its service if
- * that is higher. The request with the lowest queue_tag is dispatched first.
+ * Fair queueing between teams: a request's queue_tag is one step after the last
+ * one of its team, or after the virtual time of its service if that is higher.
+ * The request with the lowest queue_tag is dispatched first.
  */
-struct team_row {
-	struct hnd svc;
-	uint64_t key;
-	int64_t last_tag;
-};
-
 struct adm {
-	struct tab teams;
-	struct idx team_by_key;
+	struct fairq fair;
 	/* Number of the current tick. */
 	uint64_t tick;
 	uint64_t last_order;
@@ -49,14 +39,12 @@
 	c->adm = calloc(1, sizeof(*c->adm));
 	if (!c->adm)
 		abort();
-	tab_init(&c->adm->teams, sizeof(struct team_row));
-	idx_init(&c->adm->team_by_key);
+	fairq_init(&c->adm->fair);
 }
 
 void adm_free(struct core *c)
 {
-	tab_free(&c->adm->teams);
-	idx_free(&c->adm->team_by_key);
+	fairq_free(&c->adm->fair);
 	free(c->adm);
 	c->adm = NULL;
 }
@@ -95,46 +83,6 @@
 	core_log_decision(c, &d);
 }
 
-/* Evicts teams whose tags are not ahead of their service's virtual time. */
-static void evict_idle_teams(struct core *c)
-{
-	struct adm *a = c->adm;
-	uint32_t i;
-
-	for (i = a->teams.len; i-- > 0;) {
-		const struct team_row *team = tab_at(&a->teams, i);
-		const struct svc_row *svc = tab_get(&c->services, team->svc);
-
-		if (svc && team->last_tag > svc->virtual_time)
-			continue;
-		idx_del(&a->team_by_key, team->key);
-		tab_del(&a->teams, tab_handle(&a->teams, i));
-	}
-}
-
-static int64_t assign_tag(struct core *c, const struct svc_row *svc,
-			  const struct req_row *req)
-{
-	struct adm *a = c->adm;
-	uint64_t key = (svc->key ^ (req->team * HASH_MULTIPLIER)) | 1;
-	struct team_row *team =
-		tab_get(&a->teams, idx_get(&a->team_by_key, key));
-	void *row;
-
-	if (!team) {
-		if (a->teams.len >= MAX_TEAMS)
-			evict_idle_teams(c);
-		idx_put(&a->team_by_key, key, tab_add(&a->teams, &row));
-		team = row;
-		team->svc = req->svc;
-		team->key = key;
-	}
-	if (team->last_tag < svc->virtual_time)
-		team->last_tag = svc->virtual_time;
-	team->last_tag += QUEUE_TAG_STEP;
-	return team->last_tag;
-}
-
 static void enqueue(struct core *c, struct req_row *req, int64_t tag)
 {
 	struct svc_row *svc = tab_get(&c->services, req->svc);
@@ -265,8 +213,7 @@
 	};
 
 	hold_acquire_slot(c, be);
-	if (req->queue_tag > svc->virtual_time)
-		svc->virtual_time = req->queue_tag;
+	fairq_advance(&c->adm->fair, svc->key, req->queue_tag);
 	dequeue(c, req);
 	req->state = CORE_REQ_RUNNING;
 	req->backend = a.backend;
@@ -329,7 +276,9 @@
 			continue;
 		}
 		if (!req->in_queue)
-			enqueue(c, req, assign_tag(c, svc, req));
+			enqueue(c, req,
+				fairq_charge(&c->adm->fair, svc->key, req->team,
+					     QUEUE_TAG_STEP));
 		if (!req->may_leave_region && lb_may_leave_region(c, req))
 			allow_other_region(c, req);
 	}
@@ -428,7 +377,7 @@
 	req->sent_ns = 0;
 	req->first_byte_ns = 0;
 	req->abandoned = false;
-	enqueue(c, req, svc->virtual_time);
+	enqueue(c, req, fairq_virtual_time(&c->adm->fair, svc->key));
 }
 
 bool adm_done(struct core *c, struct hnd h, const struct core_done *done)
--- a/src/core_rows.h
+++ b/src/core_rows.h
@@ -45,11 +45,6 @@
 	 */
 	uint32_t queued;
 	uint32_t queued_may_leave_region;
-	/*
-	 * adm: virtual time of the fair queue: highest queue_tag of the
-	 * requests dispatched so far.
-	 */
-	int64_t virtual_time;
 	/*
 	 * adm: number of the last tick in which no backend server had a free
 	 * slot; [0] for requests bound to this region, [1] for those that may
