Edge: give free slots to waiting requests in one order per service

Each queued request checked the load by itself at random times and could take the slot for which a more urgent one waited. A system now runs over the waiting requests of a service, in the order of overload_queue, when one of this VM's requests leaves a server or the check of any of them falls due; a new request takes its place among them. Expected work is learned by route. Metrics: queue length and wait by priority.

--- a/src/edge/control_listener.c
+++ b/src/edge/control_listener.c
@@ -2,6 +2,7 @@
 
 #include "state_codec.h"
 #include "metrics.h"
+#include "request.h"
 #include "logs.h"
 #include "edge_membership.h"
 #include "store_sync.h"
@@ -64,6 +65,16 @@
 	sync_on_served(e, resp->body.len);
 }
 
+static void write_metrics(struct edge *e, struct strbuf *out)
+{
+	uint32_t waiting[CTR_QUEUE_PRIORITIES], i;
+
+	req_queue_count(e, waiting);
+	for (i = 0; i < CTR_QUEUE_PRIORITIES; i++)
+		ctr_set_queue_length(i, waiting[i]);
+	ctr_write(out);
+}
+
 void ctl_handle_request(struct edge *e, const struct hreq *req,
 			struct edge_response *resp)
 {
@@ -74,7 +85,7 @@
 		write_part(e, SYNC_CONFIG, req, resp);
 	} else if (str_eq(req->path, STR("/metrics"))) {
 		resp->content_type = "text/plain; version=0.0.4";
-		ctr_write(&resp->body);
+		write_metrics(e, &resp->body);
 	} else if (str_eq(req->path, STR("/status"))) {
 		write_status(e, &resp->body);
 	} else {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
@@ -148,6 +149,8 @@
 	tab_init(&e->services, sizeof(struct svc_row));
 	tab_init(&e->servers, sizeof(struct srv_row));
 	tab_init(&e->requests, sizeof(struct req_row));
+	fairq_init(&e->fair);
+	work_init(&e->work);
 	tab_init(&e->caller_conns, sizeof(struct cconn_row));
 	tab_init(&e->backend_conns, sizeof(struct bconn_row));
 	tab_init(&e->vms, sizeof(struct vm_row));
@@ -166,6 +169,9 @@
 	tab_free(&e->services);
 	tab_free(&e->servers);
 	tab_free(&e->requests);
+	free(e->waiting);
+	fairq_free(&e->fair);
+	work_free(&e->work);
 	tab_free(&e->caller_conns);
 	tab_free(&e->backend_conns);
 	tab_free(&e->vms);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,8 +8,11 @@
 #include "header_names.h"
 #include "edge_settings.h"
 #include "event_loop.h"
+#include "fair_queue.h"
+#include "overload_queue.h"
 #include "store_availability.h"
 #include "sync_ops.h"
+#include "work_estimate.h"
 
 #define EDGE_ID_BYTES 72
 /* Backend servers that a request remembers as tried. */
@@ -73,6 +76,8 @@
 	int64_t safe_count_ns;
 	/* Moving average of the time to a complete response. */
 	int64_t mean_latency_ns;
+	/* The waiting requests are to be checked for free slots. */
+	bool queue_wake;
 };
 
 /* State of a backend server, as the store holds it. */
@@ -293,7 +298,12 @@
 	enum req_state state;
 	enum conf_request_kind kind;
 	uint64_t service;
+	/* Hash of the route's host and prefix; 0 before it is routed. */
+	uint64_t route;
 	uint32_t priority;
+	/* Key of the caller's team, 0 for none, and its priority. */
+	uint64_t team;
+	uint32_t team_priority;
 	/* Maximum number of backend servers that it is sent to. */
 	uint32_t max_attempts;
 	uint32_t connect_attempts_left;
@@ -322,8 +332,15 @@
 	int64_t start_ns;
 	/* See struct pick; from the last choice of a server. */
 	int64_t servers_busy_until_ns;
-	/* When a queued request checks again for capacity. */
+	/* When the requests that wait for a service of which this is one check
+	 * again for capacity. */
 	int64_t recheck_ns;
+	/* When it began to wait for a slot; 0 if it did not. */
+	int64_t queued_ns;
+	/* Servers may take requests, but have no free slot for it. */
+	bool awaits_slot;
+	/* Expected time until those before it have got a slot. */
+	int64_t queue_wait_ns;
 	/* Start of the current attempt. */
 	int64_t connect_ns;
 	/* When the request began to be sent in the current attempt. */
@@ -449,6 +466,13 @@
 	 * servers. */
 	struct idx server_by_short_key;
 	struct tab requests;
+	/* Requests that wait for a slot are to be checked, of the services with
+	 * svc_row.queue_wake; and room for the entries of one service. */
+	bool queue_wake;
+	struct ovlq_entry *waiting;
+	uint32_t waiting_cap;
+	struct fairq fair;
+	struct work work;
 	/* Connections of callers. */
 	struct tab caller_conns;
 	/* One of them may hold a further request; see cconn_tick(). */
--- a/src/edge/edge_admission.c
+++ b/src/edge/edge_admission.c
@@ -59,6 +59,8 @@
 	if (r->reason == ADMIT_STARTING)
 		return STARTING_RETRY_NS;
 	base = r->mean_latency_ns * (priority + 2) / 2;
+	if (base < r->wait_ns)
+		base = r->wait_ns;
 	if (base < r->busy_ns)
 		base = r->busy_ns;
 	if (base < MIN_RETRY_NS)
--- a/src/edge/edge_admission.h
+++ b/src/edge/edge_admission.h
@@ -26,7 +26,7 @@
 	int64_t objective_ns;
 	/* Time until the request expires. */
 	int64_t time_left_ns;
-	/* Mean latency of the service. */
+	/* Mean latency of the route, or of the service. */
 	int64_t mean_latency_ns;
 	/* 0 is the most urgent. */
 	uint32_t priority;
@@ -49,6 +49,8 @@
 	/* As in admit_request. */
 	int64_t mean_latency_ns;
 	uint32_t priority;
+	/* Time until the requests before it in the queue have got a slot. */
+	int64_t wait_ns;
 	/* Time until the first server that cannot take requests now may take
 	 * them again; 0 or less if there is none. */
 	int64_t busy_ns;
@@ -59,7 +61,8 @@
 /*
  * Time after which the caller should send a refused request again. Without
  * free capacity, this is about the time in which a server completes a request,
- * and longer for less urgent requests. It has jitter, so that callers refused
+ * and longer for less urgent requests, or until the queue before the request
+ * has been served if that takes longer. It has jitter, so that callers refused
  * together do not return together.
  */
 int64_t admit_retry_after(const struct admit_refusal *r);
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -58,6 +58,8 @@
 		return;
 	prog_advance(e, s);
 	s->in_flight = (uint32_t)((int)s->in_flight + in_flight);
+	if (in_flight < 0)
+		req_queue_wake(e, s->service);
 	s->idle_connections = (uint32_t)((int)s->idle_connections + idle);
 }
 
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -87,6 +87,7 @@
 		.reason = ADMIT_NO_CAPACITY,
 		.mean_latency_ns = mean_latency_ns,
 		.priority = req ? req->priority : 0,
+		.wait_ns = req ? req->queue_wait_ns : 0,
 		.busy_ns = req ? req->servers_busy_until_ns - e->ev.now_ns : 0,
 		.random_bits = edge_random(e),
 	};
@@ -111,7 +112,7 @@
 	if (r->service)
 		bud_count_failure(e, edge_service(e, r->service));
 	retry_after = retry_after_ns(
-		e, status, r->service ? req_mean_latency_ns(e, r) : 0, r);
+		e, status, r->service ? req_expected_work(e, r).mean_ns : 0, r);
 	ctr_add(CTR_REFUSED, status == 503);
 	ctr_add(CTR_UNKNOWN, status == 502 || status == 504);
 	ctr_observe(CTR_REQUEST_DURATION, e->ev.now_ns - r->start_ns);
@@ -155,6 +156,7 @@
 		      const struct conf_route *route)
 {
 	r->kind = route->kind;
+	r->route = str_hash(route->prefix) ^ (str_hash(route->host) << 1);
 	r->priority = route->priority;
 	r->max_attempts = route->max_attempts ? route->max_attempts : 1;
 	r->service = conf_pick_service(e->conf, route, edge_random(e));
@@ -383,10 +385,23 @@
 	return mean ? mean : REQ_INITIAL_LATENCY_NS;
 }
 
-static void enqueue(struct req_row *r, int64_t until_ns)
+struct work_time req_expected_work(struct edge *e, const struct req_row *r)
+{
+	return work_expect(&e->work, r->route, r->service,
+			   req_mean_latency_ns(e, r));
+}
+
+int64_t req_objective_time(const struct req_row *r)
+{
+	return r->objective_ns ? r->start_ns + r->objective_ns : r->expires_ns;
+}
+
+static void enqueue(struct edge *e, struct req_row *r, int64_t until_ns)
 {
 	r->state = REQ_QUEUED;
 	r->recheck_ns = until_ns;
+	if (!r->queued_ns)
+		r->queued_ns = e->ev.now_ns;
 }
 
 /* A server may be reinstated or added before the first busy one is free. */
@@ -422,10 +437,9 @@
 
 	return (struct admit_request){
 		.age_ns = now - r->start_ns,
-		.objective_ns = r->objective_ns ? r->objective_ns
-						: r->expires_ns - r->start_ns,
+		.objective_ns = req_objective_time(r) - r->start_ns,
 		.time_left_ns = r->expires_ns - now,
-		.mean_latency_ns = req_mean_latency_ns(e, r),
+		.mean_latency_ns = req_expected_work(e, r).mean_ns,
 		.priority = r->priority,
 	};
 }
@@ -438,7 +452,8 @@
 	case ADMIT_SEND:
 		return true;
 	case ADMIT_QUEUE:
-		enqueue(r,
+		r->awaits_slot = true;
+		enqueue(e, r,
 			e->ev.now_ns + QUEUE_RECHECK_NS +
 				(int64_t)(edge_random(e) % QUEUE_RECHECK_NS));
 		return false;
@@ -454,7 +469,7 @@
 	struct admit_request admission = make_admit_request(e, r);
 	struct pick pick;
 
-	if (!stop_accepts_requests(e))
+	if (!stop_accepts_requests(e) || req_others_wait(e, r))
 		return false;
 	pick = pick_server(e, r, admit_max_load(&admission));
 	admission.load = pick.load;
@@ -463,6 +478,33 @@
 }
 
 void req_dispatch(struct edge *e, struct hnd h)
+{
+	struct req_row *r = req_get(e, h);
+
+	if (!req_others_wait(e, r)) {
+		req_try_send(e, h);
+		return;
+	}
+	r->awaits_slot = true;
+	enqueue(e, r, e->ev.now_ns);
+	req_queue_wake(e, r->service);
+}
+
+/* Counts the slot that the request gets for its team. */
+static void charge_team(struct edge *e, struct req_row *r)
+{
+	int64_t work_ns = req_expected_work(e, r).mean_ns;
+
+	fairq_advance(&e->fair, r->service,
+		      fairq_start(&e->fair, r->service, r->team));
+	fairq_charge(&e->fair, r->service, r->team, work_ns);
+	if (r->queued_ns)
+		ctr_observe_queue_wait(r->priority,
+				       e->ev.now_ns - r->queued_ns);
+	r->queued_ns = 0;
+}
+
+void req_try_send(struct edge *e, struct hnd h)
 {
 	struct req_row *r = req_get(e, h);
 	struct admit_request admission = make_admit_request(e, r);
@@ -479,7 +521,8 @@
 	}
 	pick = pick_server(e, r, admit_max_load(&admission));
 	if (pick.result == PICK_FULL) {
-		enqueue(r, recheck_time(e, pick.busy_until_ns));
+		r->awaits_slot = false;
+		enqueue(e, r, recheck_time(e, pick.busy_until_ns));
 		return;
 	}
 	if (pick.result == PICK_NONE) {
@@ -490,6 +533,7 @@
 	admission.load = pick.load;
 	if (!pick.trial && !admit(e, r, &admission))
 		return;
+	charge_team(e, r);
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
 	r->server_generation = s->generation;
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -4,6 +4,7 @@
 #include "edge.h"
 #include "edge_backend_connection.h"
 #include "edge_outlier_detection.h"
+#include "metrics.h"
 
 /*
  * Requests in flight: which backend server each one is sent to, when it is
@@ -75,6 +76,14 @@
  * part of the response was sent. */
 void req_cut_all(struct edge *e);
 
+/* A slot of the service may be free for a waiting request: they are checked in
+ * this tick. */
+void req_queue_wake(struct edge *e, uint64_t service);
+/* Number of requests that wait for a slot, by priority of their route; the last
+ * number includes those of lower priority. */
+void req_queue_count(const struct edge *e,
+		     uint32_t waiting[CTR_QUEUE_PRIORITIES]);
+
 /* Handles timeouts, and requests that wait for capacity or for the first
  * configuration. */
 void req_tick(struct edge *e, int64_t now_ns);
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -86,6 +86,7 @@
 	int64_t took_ns = e->ev.now_ns - r->sent_ns;
 
 	ctr_observe(CTR_BACKEND_DURATION, took_ns);
+	work_record(&e->work, r->route, r->service, took_ns);
 	if (!svc->mean_latency_ns)
 		svc->mean_latency_ns = REQ_INITIAL_LATENCY_NS;
 	svc->mean_latency_ns +=
--- a/src/edge/request_internal.h
+++ b/src/edge/request_internal.h
@@ -7,7 +7,8 @@
 /*
  * Internal interface of the requests in flight, shared by request.c (from the
  * caller to the backend server), request_connection.c (the connection to it
- * before the request is sent), request_attempt.c (results of attempts),
+ * before the request is sent), request_queue.c (requests that wait for a slot),
+ * request_attempt.c (results of attempts),
  * request_timeout.c (timeouts) and request_stop.c (a VM that stops).
  */
 
@@ -42,8 +43,22 @@
 /* Time at which such a request is refused if there is still no
  * configuration. */
 int64_t req_route_deadline(const struct edge *e);
-/* Chooses a server and sends the request to it, queues it or refuses it. */
+/* Sends the request to a server, queues it or refuses it. If others wait for
+ * the service, it gets its place among them. */
 void req_dispatch(struct edge *e, struct hnd h);
+/* Chooses a server and sends the request to it, queues it or refuses it,
+ * without regard to others that wait. */
+void req_try_send(struct edge *e, struct hnd h);
+/* Expected service time of the request. */
+struct work_time req_expected_work(struct edge *e, const struct req_row *r);
+/* Time at which a response should be complete: by the latency objective of the
+ * route, or else by the time limit. */
+int64_t req_objective_time(const struct req_row *r);
+/* True when another request waits for the service of this one. */
+bool req_others_wait(const struct edge *e, const struct req_row *r);
+/* Gives slots to the requests that wait in services with queue_wake, in order,
+ * and refuses those that cannot be served. */
+void req_queue_tick(struct edge *e);
 /* The connection is open: sends as much of the request as was received. */
 void req_send(struct edge *e, struct hnd h);
 /*
--- a/src/edge/request_timeout.c
+++ b/src/edge/request_timeout.c
@@ -97,7 +97,7 @@
 		 now_ns - r->connect_ns >= CONNECT_TIMEOUT_NS)
 		req_connect_failed(e, h, "connect timed out");
 	else if (r->state == REQ_QUEUED && now_ns >= r->recheck_ns)
-		req_dispatch(e, h);
+		req_queue_wake(e, r->service);
 	else if (r->state == REQ_SENT && next_stall_age_ns(e, r) &&
 		 now_ns - r->sent_ns >= next_stall_age_ns(e, r))
 		check_stall(e, h);
@@ -109,6 +109,7 @@
 
 	for (i = 0; i < e->requests.len; i++)
 		tick_request(e, tab_handle(&e->requests, i), now_ns);
+	req_queue_tick(e);
 }
 
 int64_t req_next_due(const struct edge *e)
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -74,6 +74,14 @@
 	[CTR_BACKEND_DURATION] = {"backend",
 				  "From sending to a backend server to its "
 				  "complete answer."},
+	[CTR_QUEUE_WAIT] = {"queue_wait_priority_0",
+			    "Wait for a slot, most urgent requests."},
+	[CTR_QUEUE_WAIT + 1] = {"queue_wait_priority_1",
+				"Wait for a slot, priority 1."},
+	[CTR_QUEUE_WAIT + 2] = {"queue_wait_priority_2",
+				"Wait for a slot, priority 2."},
+	[CTR_QUEUE_WAIT + 3] = {"queue_wait_priority_3",
+				"Wait for a slot, priority 3 and below."},
 };
 
 void ctr_observe(enum ctr_histogram histogram, int64_t ns)
@@ -88,6 +96,41 @@
 			   __ATOMIC_RELAXED);
 }
 
+static uint64_t queue_lengths[CTR_QUEUE_PRIORITIES];
+
+static uint32_t queue_of(uint32_t priority)
+{
+	return priority < CTR_QUEUE_PRIORITIES ? priority
+					       : CTR_QUEUE_PRIORITIES - 1;
+}
+
+void ctr_observe_queue_wait(uint32_t priority, int64_t ns)
+{
+	ctr_observe(CTR_QUEUE_WAIT + queue_of(priority), ns);
+}
+
+void ctr_set_queue_length(uint32_t priority, uint64_t length)
+{
+	__atomic_store_n(&queue_lengths[queue_of(priority)], length,
+			 __ATOMIC_RELAXED);
+}
+
+static void write_queue_lengths(struct strbuf *out)
+{
+	int i;
+
+	strbuf_add(out, STR("# HELP currantpaddle_queue_length Requests that "
+			    "wait for a slot, by priority.\n"
+			    "# TYPE currantpaddle_queue_length gauge\n"));
+	for (i = 0; i < CTR_QUEUE_PRIORITIES; i++)
+		strbuf_addf(out,
+			    "currantpaddle_queue_length{priority=\"%d\"} "
+			    "%llu\n",
+			    i,
+			    (unsigned long long)__atomic_load_n(
+				    &queue_lengths[i], __ATOMIC_RELAXED));
+}
+
 static void write_histogram(struct strbuf *out, int histogram)
 {
 	const char *name = histogram_defs[histogram].name;
@@ -133,4 +176,5 @@
 			    (unsigned long long)ctr_get(i));
 	for (i = 0; i < CTR_HISTOGRAM_COUNT; i++)
 		write_histogram(out, i);
+	write_queue_lengths(out);
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -42,13 +42,23 @@
 	CTR_REQUEST_DURATION,
 	/* From sending to a backend server to its complete response. */
 	CTR_BACKEND_DURATION,
+	/* Time that requests wait for a slot, by priority. */
+	CTR_QUEUE_WAIT,
+	CTR_LAST_QUEUE_WAIT = CTR_QUEUE_WAIT + 3,
 	CTR_HISTOGRAM_COUNT,
 };
 
+/* Priorities of routes with a queue of their own in the metrics; the last one
+ * includes the lower ones. */
+#define CTR_QUEUE_PRIORITIES 4
+
 /* Records a duration in nanoseconds. */
 void ctr_observe(enum ctr_histogram histogram, int64_t ns);
 void ctr_add(enum ctr counter, uint64_t n);
 uint64_t ctr_get(enum ctr counter);
+/* Records how long a request of that priority waited for a slot. */
+void ctr_observe_queue_wait(uint32_t priority, int64_t ns);
+void ctr_set_queue_length(uint32_t priority, uint64_t length);
 /* Appends all metrics in the Prometheus text format. */
 void ctr_write(struct strbuf *out);
 
