--- a/src/edge/overload_queue.c
+++ b/src/edge/overload_queue.c
@@ -59,20 +59,17 @@
 	}
 }
 
-void ovlq_judge(struct ovlq_entry *entries, size_t count, int64_t now_ns,
-		uint32_t slots)
+void ovlq_judge(struct ovlq_entry *entries, size_t count, int64_t now_ns)
 {
 	int64_t work_ns = 0;
 	uint32_t place = 0;
 	size_t i;
 
-	if (!slots)
-		slots = 1;
 	for (i = 0; i < count; i++) {
 		struct ovlq_entry *e = &entries[i];
 
 		e->place = place;
-		e->wait_ns = work_ns / slots;
+		e->wait_ns = work_ns / (e->slots ? e->slots : 1);
 		if (now_ns + e->wait_ns + e->min_work_ns > e->expires_ns)
 			e->verdict = OVLQ_NO_TIME;
 		else if (now_ns + e->wait_ns >= e->objective_ns)
--- a/src/edge/overload_queue.h
+++ b/src/edge/overload_queue.h
@@ -34,6 +34,9 @@
 	/* Expected service time, and the least that is taken to be possible. */
 	int64_t work_ns;
 	int64_t min_work_ns;
+	/* Slots that it may get: those not held by more urgent requests. Used
+	 * by ovlq_judge() only. */
+	uint32_t slots;
 	/* Set by ovlq_judge(). Requests before it, and the time until these
 	 * have got a slot. */
 	uint32_t place;
@@ -50,10 +53,9 @@
 
 /* Puts the entries into the order in which they get slots. */
 void ovlq_order(struct ovlq_entry *entries, size_t count, int64_t now_ns);
-/* Sets place, wait and verdict of ordered entries that wait for one of the
- * given number of slots. Refused entries do not delay others. */
-void ovlq_judge(struct ovlq_entry *entries, size_t count, int64_t now_ns,
-		uint32_t slots);
+/* Sets place, wait and verdict of ordered entries. Refused entries do not delay
+ * others. */
+void ovlq_judge(struct ovlq_entry *entries, size_t count, int64_t now_ns);
 const char *ovlq_verdict_name(enum ovlq_verdict verdict);
 
 #endif
--- a/src/edge/request_queue.c
+++ b/src/edge/request_queue.c
@@ -110,8 +110,27 @@
 	return slots > in_flight ? slots : in_flight;
 }
 
+/* Those of the slots that more urgent requests of this VM hold. */
+static uint32_t slots_of_more_urgent(const struct edge *e,
+				     const struct req_row *r)
+{
+	uint32_t held = 0, i;
+
+	for (i = 0; i < e->requests.len; i++) {
+		const struct req_row *other = tab_at(&e->requests, i);
+
+		if (other->service != r->service ||
+		    other->state < REQ_CONNECTING || other->state == REQ_DONE)
+			continue;
+		held += other->team_priority < r->team_priority ||
+			(other->team_priority == r->team_priority &&
+			 other->priority < r->priority);
+	}
+	return held;
+}
+
 static void log_refusal(const struct edge *e, const struct req_row *r,
-			const struct ovlq_entry *entry, uint32_t slots)
+			const struct ovlq_entry *entry)
 {
 	int64_t now = e->ev.now_ns;
 
@@ -121,7 +140,7 @@
 			   LOGS_STR("why", str_from(ovlq_verdict_name(
 						   entry->verdict))),
 			   LOGS_INT("place", entry->place),
-			   LOGS_INT("slots", slots),
+			   LOGS_INT("slots", entry->slots),
 			   LOGS_INT("wait_ms", entry->wait_ns / NS_PER_MS),
 			   LOGS_INT("work_ms", entry->work_ns / NS_PER_MS),
 			   LOGS_INT("least_work_ms",
@@ -141,14 +160,21 @@
 {
 	uint32_t i;
 
-	ovlq_judge(e->waiting, count, e->ev.now_ns, slots);
+	for (i = 0; i < count; i++) {
+		struct ovlq_entry *entry = &e->waiting[i];
+		uint32_t held =
+			slots_of_more_urgent(e, req_get(e, entry->request));
+
+		entry->slots = slots > held ? slots - held : 1;
+	}
+	ovlq_judge(e->waiting, count, e->ev.now_ns);
 	for (i = 0; i < count; i++) {
 		const struct ovlq_entry *entry = &e->waiting[i];
 		struct req_row *r = req_get(e, entry->request);
 
 		if (entry->verdict == OVLQ_KEEP)
 			continue;
-		log_refusal(e, r, entry, slots);
+		log_refusal(e, r, entry);
 		r->queue_wait_ns = entry->wait_ns;
 		req_give_up(e, r, ovlq_verdict_name(entry->verdict));
 	}
