--- a/src/edge/request_queue.c
+++ b/src/edge/request_queue.c
@@ -162,8 +162,8 @@
 
 	for (i = 0; i < count; i++) {
 		struct ovlq_entry *entry = &e->waiting[i];
-		uint32_t held =
-			slots_of_more_urgent(e, req_get(e, entry->request));
+		const struct req_row *r = req_get(e, entry->request);
+		uint32_t held = r ? slots_of_more_urgent(e, r) : 0;
 
 		entry->slots = slots > held ? slots - held : 1;
 	}
@@ -172,7 +172,8 @@
 		const struct ovlq_entry *entry = &e->waiting[i];
 		struct req_row *r = req_get(e, entry->request);
 
-		if (entry->verdict == OVLQ_KEEP)
+		/* The end of another one may have closed its connection. */
+		if (!r || entry->verdict == OVLQ_KEEP)
 			continue;
 		log_refusal(e, r, entry);
 		r->queue_wait_ns = entry->wait_ns;
