Edge: log what decided a refusal at the latency objective

'too much load' had only the reason; the event 'overload' now has the load of the best server, its limit, the expected work and the time left.

--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -444,6 +444,29 @@
 	};
 }
 
+static void log_overload(const struct req_row *r,
+			 const struct admit_request *admission)
+{
+	logs_event(
+		LOGS_INFO, "overload",
+		(struct logs_field[]){
+			LOGS_STR("request", strbuf_view(&r->id)),
+			LOGS_STR("why", STR("too much load")),
+			LOGS_INT("load_permille", admission->load),
+			LOGS_INT("limit_permille", admit_max_load(admission)),
+			LOGS_INT("work_ms",
+				 admission->mean_latency_ns / NS_PER_MS),
+			LOGS_INT("objective_ms",
+				 (admission->objective_ns - admission->age_ns) /
+					 NS_PER_MS),
+			LOGS_INT("left_ms",
+				 admission->time_left_ns / NS_PER_MS),
+			LOGS_INT("priority", r->priority),
+			LOGS_INT("team_priority", r->team_priority),
+		},
+		9);
+}
+
 /* False when the request was queued or refused. */
 static bool admit(struct edge *e, struct req_row *r,
 		  const struct admit_request *admission)
@@ -459,6 +482,7 @@
 		return false;
 	case ADMIT_REFUSE:
 	default:
+		log_overload(r, admission);
 		req_give_up(e, r, "too much load");
 		return false;
 	}
