Edge: no cut response looks complete, no odd status passes

Cause: three ways in which a caller took something else for a server's response. (1) A body without a length that ended with FIN was taken as complete when the request was written to the socket, though the server's host had not received all of it: the server had broken off its early success. (3) A long response without a length went to HTTP/1.0 callers in chunks, which HTTP/1.0 does not have.

Change: the end of a body without a length completes a 2xx only if all bytes of the request are acknowledged (SIOCOUTQ). A head with a status outside 100 to 599, or with 101, is an invalid response. For HTTP/1.0, the body ends with the connection, and whatever ends it earlier resets it.

Result: test_edge_cut_response, 360 cases of framing x end x moment x size x version x kept or fresh connection, failed on ('framing 2, end 0, moment 4': a 200 of an upload that was not received was whole to its caller; and status 099 was passed on). On the new code both of its tests pass; it takes 11 s. test_edge_response_end, test_edge_framing, test_hostile_server, test_platform, test_edge_upload and test_graceful_stop pass.

--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -1,9 +1,11 @@
 #include "edge_backend_connection_internal.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -282,6 +284,14 @@
 	req_attempt_failed(e, req, outcome, why, may_have_run);
 }
 
+/* Bytes of the request that the server's host has not acknowledged. */
+static int unacked_bytes(const struct bconn_row *c)
+{
+	int bytes = 0;
+
+	return ioctl(c->fd, SIOCOUTQ, &bytes) ? 0 : bytes;
+}
+
 static bool is_request_sent(const struct bconn_row *c)
 {
 	return c->request_complete && c->out.len == c->out_sent;
@@ -322,8 +332,8 @@
 
 /*
  * True if the end of the connection completes the response: an orderly end of a
- * body without a length. A server that ends the connection before it has got
- * the request has broken off its success.
+ * body without a length. A server that ends the connection before its host has
+ * got the whole request has broken off its success.
  */
 static bool is_completed_by_close(const struct bconn_row *c, int failure)
 {
@@ -332,7 +342,8 @@
 	if (failure || !c->head_done || c->skip_response)
 		return false;
 	return !r->chunked && r->length < 0 &&
-	       (is_request_sent(c) || r->status / 100 != 2);
+	       ((is_request_sent(c) && !unacked_bytes(c)) ||
+		r->status / 100 != 2);
 }
 
 /* failure: error of the socket, 0 after an orderly end. */
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -34,6 +34,14 @@
 	return c && !c->closed ? c : NULL;
 }
 
+/* Makes close() reset the connection. */
+static void set_reset_on_close(const struct cconn_row *c)
+{
+	struct linger now = {1, 0};
+
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
 /* Keeps the row, which later events of this batch may refer to; cconn_sweep()
  * removes it. */
 static void close_connection(struct edge *e, struct cconn_row *c,
@@ -45,6 +53,10 @@
 		return;
 	c->closed = true;
 	c->req = HND_NONE;
+	/* After a FIN, the response would look complete. */
+	if (c->ends_with_close &&
+	    (!c->response_done || c->out.len > c->out_sent))
+		set_reset_on_close(c);
 	close(c->fd);
 	c->fd = -1;
 	if (!hnd_eq(req, HND_NONE))
@@ -69,6 +81,18 @@
 	ev_modify(&e->ev, c->fd, EV_CALLER_CONN, h, events);
 }
 
+/* Ends a connection whose last response is sent. Closing with unread input
+ * resets the connection, and the caller may lose the response. */
+static void end_connection(struct edge *e, struct cconn_row *c)
+{
+	bool reading = c->state == CCONN_READING_BODY;
+
+	if (c->discarding || (reading && c->ends_with_close))
+		shutdown(c->fd, SHUT_WR);
+	else if (!reading)
+		close_connection(e, c, "response sent");
+}
+
 static void send_pending(struct edge *e, struct cconn_row *c, struct hnd h)
 {
 	while (!c->closed && c->out_sent < c->out.len) {
@@ -87,15 +111,8 @@
 		c->out_sent += (size_t)n;
 	}
 	out_remove_sent(&c->out, &c->out_sent);
-	/* Closing with unread input resets the connection, and the caller may
-	 * lose the response. */
-	if (!c->out.len && c->closing && c->response_done &&
-	    c->state != CCONN_READING_BODY) {
-		if (c->discarding)
-			shutdown(c->fd, SHUT_WR);
-		else
-			close_connection(e, c, "response sent");
-	}
+	if (!c->out.len && c->closing && c->response_done)
+		end_connection(e, c);
 	set_events(e, c, h);
 }
 
@@ -189,10 +206,11 @@
 	strbuf_addf(&c->out, "HTTP/1.1 %d %.*s\r\n", status, STR_FMT(phrase));
 	strbuf_add(&c->out, fields);
 	add_connection_field(e, c);
-	c->chunked_response = length == CCONN_CHUNKED;
+	c->chunked_response = length == CCONN_CHUNKED && !c->http_1_0;
+	c->ends_with_close = length == CCONN_CHUNKED && c->http_1_0;
 	if (c->chunked_response)
 		strbuf_add(&c->out, STR("Transfer-Encoding: chunked\r\n\r\n"));
-	else if (status == 204 || status == 304 || length == CCONN_NO_LENGTH)
+	else if (status == 204 || status == 304 || length < 0)
 		strbuf_add(&c->out, STR("\r\n"));
 	else
 		strbuf_addf(&c->out, "Content-Length: %lld\r\n\r\n",
@@ -227,15 +245,12 @@
 
 void cconn_reset(struct edge *e, struct hnd caller)
 {
-	struct linger now = {1, 0};
 	struct cconn_row *c = get_row(e, caller);
 
 	if (!c)
 		return;
 	c->req = HND_NONE;
-	/* After a FIN, a response that ends with its connection would look
-	 * complete. */
-	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	set_reset_on_close(c);
 	close_connection(e, c, "response truncated");
 }
 
@@ -357,6 +372,7 @@
 	if (head.expect_continue)
 		strbuf_add(&c->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
 	c->keep_alive = head.keep_alive;
+	c->http_1_0 = !head.minor;
 	c->response_done = false;
 	c->response_begun = false;
 	c->body_bytes = 0;
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -35,6 +35,10 @@
 	bool response_done;
 	/* The response body is sent with chunked transfer coding. */
 	bool chunked_response;
+	/* The caller speaks HTTP/1.0, which has no chunked transfer coding. */
+	bool http_1_0;
+	/* The response body ends with the connection. */
+	bool ends_with_close;
 	/* Reading is paused: pipelined requests fill the input buffer. */
 	bool pipeline_paused;
 	/* The socket is closed; cconn_sweep() removes the row. */
@@ -72,7 +76,8 @@
  * retry_after_ns is 0. */
 void cconn_respond(struct edge *e, struct hnd caller, int status,
 		   const char *reason, int64_t retry_after_ns);
-/* Lengths for cconn_begin_response(). */
+/* Lengths for cconn_begin_response(). To callers of HTTP/1.0, a chunked body is
+ * sent without chunks and ends with the connection. */
 #define CCONN_CHUNKED (-1)
 /* A response without a body that does not say how long it would be. */
 #define CCONN_NO_LENGTH (-2)
--- a/src/edge/response_head.c
+++ b/src/edge/response_head.c
@@ -98,6 +98,13 @@
 	}
 }
 
+/* Informational responses precede a response. 101 would end HTTP on the
+ * connection, which no request asks for. */
+static bool is_known_status(int status)
+{
+	return status >= 100 && status <= 599 && status != 101;
+}
+
 const char *rsp_parse(struct rsp *r, struct str head, bool head_method)
 {
 	struct str coding;
@@ -110,6 +117,8 @@
 		    head.len ||
 	    p.http_errno != HPE_OK || !r->status)
 		return "not an HTTP response";
+	if (!is_known_status(r->status))
+		return "unknown status";
 	if (r->length < -1)
 		return "Content-Length too large";
 	r->declared_length = r->length;
