Edge: pipelined safe requests run side by side; unread responses are cut

Cause: a connection served one request at a time, so that the third of three pipelined requests of 280 ms had taken 840 ms of its objective. A request that waited in the input had its deadline from the end of the one before, so that servers were told a later deadline than the caller's. Requests were served on for a caller that reads none of their responses, whose bytes had no bound. A caller that read nothing held its server until the deadline, and a response whose rest was not read 5 s after its end was closed, not reset.

No further request is started while 64 KB of responses are unread; a connection that takes nothing for 5 s is reset. A connection that closes with pipelined requests unread discards them and ends with FIN first. A stop answers what was started, with Connection: close on the last response.

--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -1,13 +1,16 @@
 #include "edge_caller_connection.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "control_listener.h"
+#include "edge_caller_pipeline.h"
 #include "metrics.h"
 #include "logs.h"
 #include "output_buffer.h"
@@ -16,6 +19,13 @@
 #define RECV_BYTES 32768
 /* Reading pauses when pipelined requests fill this many bytes. */
 #define MAX_PIPELINED_BYTES 65536
+/* No further request of a connection is started while its caller has left this
+ * many bytes of responses unread. */
+#define MAX_UNREAD_BYTES 65536
+/* A connection is reset whose caller has taken nothing of a response for this
+ * time: its server and this VM's memory are held meanwhile. Servers cut off a
+ * response that is not read for some seconds. */
+#define UNREAD_TIMEOUT_NS (5 * NS_PER_S)
 /* Added to the idle timeout, so that a connection is not closed just as the
  * caller reuses it. */
 #define IDLE_MARGIN_NS NS_PER_S
@@ -53,23 +63,30 @@
 		return;
 	c->closed = true;
 	c->req = HND_NONE;
+	cpipe_cancel(e, c, why);
 	/* After a FIN, the response would look complete. */
 	if (c->ends_with_close &&
 	    (!c->response_done || c->out.len > c->out_sent))
 		set_reset_on_close(c);
-	close(c->fd);
+	if (!c->held)
+		close(c->fd);
 	c->fd = -1;
 	if (!hnd_eq(req, HND_NONE))
 		req_cancel(e, req, why);
 }
 
+static bool is_unread(const struct cconn_row *c)
+{
+	return c->out.len - c->out_sent > MAX_UNREAD_BYTES;
+}
+
 static void set_events(struct edge *e, struct cconn_row *c, struct hnd h)
 {
 	uint32_t events = EPOLLRDHUP;
 
-	if (c->closed)
+	if (c->closed || c->held)
 		return;
-	c->pipeline_paused = c->state == CCONN_RESPONDING &&
+	c->pipeline_paused = (c->state == CCONN_RESPONDING || is_unread(c)) &&
 			     c->in.len >= MAX_PIPELINED_BYTES;
 	if (!c->pipeline_paused && !c->body_paused)
 		events |= EPOLLIN;
@@ -81,12 +98,36 @@
 	ev_modify(&e->ev, c->fd, EV_CALLER_CONN, h, events);
 }
 
+void cconn_consume(struct cconn_row *c, size_t n)
+{
+	strbuf_remove(&c->in, n);
+	arr_remove(&c->arrivals, n, c->in.len);
+	if (!c->in.len) {
+		strbuf_free(&c->in);
+		strbuf_init(&c->in);
+	}
+}
+
+/* Ends a connection on which what follows cannot be parsed. */
+static void discard_input(struct edge *e, struct cconn_row *c)
+{
+	c->closing = true;
+	c->discarding = true;
+	c->body_paused = false;
+	c->state_since_ns = e->ev.now_ns;
+	cconn_consume(c, c->in.len);
+}
+
 /* Ends a connection whose last response is sent. Closing with unread input
  * resets the connection, and the caller may lose the response. */
 static void end_connection(struct edge *e, struct cconn_row *c)
 {
 	bool reading = c->state == CCONN_READING_BODY;
 
+	/* Requests behind a response that closes the connection are not
+	 * read. */
+	if (c->pipelined && !reading && !c->discarding)
+		discard_input(e, c);
 	if (c->discarding || (reading && c->ends_with_close))
 		shutdown(c->fd, SHUT_WR);
 	else if (!reading)
@@ -95,6 +136,8 @@
 
 static void send_pending(struct edge *e, struct cconn_row *c, struct hnd h)
 {
+	if (c->held)
+		return;
 	while (!c->closed && c->out_sent < c->out.len) {
 		ssize_t n = send(c->fd, c->out.ptr + c->out_sent,
 				 c->out.len - c->out_sent,
@@ -109,6 +152,7 @@
 			return;
 		}
 		c->out_sent += (size_t)n;
+		c->sent_bytes += (uint64_t)n;
 	}
 	out_remove_sent(&c->out, &c->out_sent);
 	if (!c->out.len && c->closing && c->response_done)
@@ -116,24 +160,42 @@
 	set_events(e, c, h);
 }
 
+/* Passes on what waits of the next pipelined request's response. */
+static void serve_next(struct edge *e, struct cconn_row *c, struct hnd h)
+{
+	enum cpipe_next next = cpipe_take_next(e, c, h);
+
+	while (next == CPIPE_DONE)
+		next = cpipe_take_next(e, c, h);
+	if (next == CPIPE_NONE && c->state == CCONN_RESPONDING)
+		c->state = CCONN_READING_HEAD;
+}
+
 /* The response is complete: the next request may be parsed. */
 static void finish_response(struct edge *e, struct cconn_row *c, struct hnd h)
 {
+	struct hnd next;
+
 	c->response_done = true;
 	c->req = HND_NONE;
 	c->state_since_ns = e->ev.now_ns;
-	if (c->state == CCONN_RESPONDING)
-		c->state = CCONN_READING_HEAD;
+	if (c->held)
+		return;
+	serve_next(e, c, h);
 	/* A further request may have arrived with the last one; a paused body
 	 * is read on. */
 	c->input_pending = c->in.len > 0 || c->body_paused;
 	e->caller_input_pending |= c->input_pending;
+	next = c->req;
 	send_pending(e, c, h);
+	if (!c->closed && !hnd_eq(next, HND_NONE))
+		req_caller_writable(e, next);
 }
 
 static void add_connection_field(struct edge *e, struct cconn_row *c)
 {
-	if (e->leaving || !c->keep_alive)
+	/* While the VM stops, what was started is still answered. */
+	if ((e->leaving && hnd_eq(c->next, HND_NONE)) || !c->keep_alive)
 		c->closing = true;
 	if (c->closing)
 		strbuf_add(&c->out, STR("Connection: close\r\n"));
@@ -250,6 +312,12 @@
 	if (!c)
 		return;
 	c->req = HND_NONE;
+	if (c->held) {
+		strbuf_reset(&c->out);
+		c->chunked_response = false;
+		cconn_respond(e, caller, 502, "response truncated", 0);
+		return;
+	}
 	set_reset_on_close(c);
 	close_connection(e, c, "response truncated");
 }
@@ -275,25 +343,6 @@
 	return false;
 }
 
-static void consume(struct strbuf *in, size_t n)
-{
-	strbuf_remove(in, n);
-	if (!in->len) {
-		strbuf_free(in);
-		strbuf_init(in);
-	}
-}
-
-/* Ends a connection on which what follows cannot be parsed. */
-static void discard_input(struct edge *e, struct cconn_row *c)
-{
-	c->closing = true;
-	c->discarding = true;
-	c->body_paused = false;
-	c->state_since_ns = e->ev.now_ns;
-	consume(&c->in, c->in.len);
-}
-
 /* Rejects a request and ends its connection. A request has one response: one
  * that is complete stays the last, and one that has begun is cut off. */
 static void reject_and_close(struct edge *e, struct cconn_row *c, struct hnd h,
@@ -337,7 +386,7 @@
 	strbuf_free(&resp.body);
 }
 
-static size_t max_head_bytes_of(const struct edge *e)
+size_t cconn_max_head_bytes(const struct edge *e)
 {
 	if (e->conf && e->conf->limits.max_head_bytes < HREQ_MAX_HEAD_BYTES)
 		return e->conf->limits.max_head_bytes;
@@ -351,12 +400,12 @@
 	size_t len = hreq_head_len(strbuf_view(&c->in));
 	const char *fault;
 
-	if (!len && c->in.len <= max_head_bytes_of(e)) {
+	if (!len && c->in.len <= cconn_max_head_bytes(e)) {
 		if (!hreq_may_be_request(strbuf_view(&c->in)))
 			reject_and_close(e, c, h, 400, "not HTTP");
 		return false;
 	}
-	if (!len || len > max_head_bytes_of(e)) {
+	if (!len || len > cconn_max_head_bytes(e)) {
 		reject_and_close(e, c, h, 431, "head too large");
 		return false;
 	}
@@ -378,8 +427,11 @@
 	c->body_bytes = 0;
 	c->state = CCONN_READING_BODY;
 	hbod_init(&c->body, &head);
+	c->repeatable = c->listener == EDGE_LISTENER_CALLERS &&
+			req_may_run_beside(e, &head);
 	if (c->listener == EDGE_LISTENER_CALLERS) {
-		struct hnd req = req_begin(e, h, &head, c->state_since_ns);
+		int64_t start = arr_first(&c->arrivals, e->ev.now_ns);
+		struct hnd req = req_begin(e, h, &head, start);
 
 		if (!c->closed && !c->response_done)
 			c->req = req;
@@ -387,7 +439,7 @@
 		serve_locally(e, c, h, &head);
 	}
 	if (!c->closed)
-		consume(&c->in, len);
+		cconn_consume(c, len);
 	return !c->closed;
 }
 
@@ -421,7 +473,7 @@
 	if (c->closed)
 		return false;
 	if (used)
-		consume(&c->in, used);
+		cconn_consume(c, used);
 	if (c->body.state == HBOD_MALFORMED) {
 		reject_body(e, c, h, 400, "malformed body");
 		return false;
@@ -440,22 +492,35 @@
 	return !c->closed;
 }
 
-static void process_input(struct edge *e, struct cconn_row *c, struct hnd h)
+static void process_input(struct edge *e, struct hnd h)
 {
-	bool more = true;
+	struct cconn_row *c = get_row(e, h);
+	bool more = true, unread;
 
 	if (c->discarding)
-		consume(&c->in, c->in.len);
-	while (more && !c->closed) {
-		if (c->state == CCONN_READING_HEAD)
-			more = !c->closing && c->in.len && parse_head(e, c, h);
-		else if (c->state == CCONN_READING_BODY)
+		cconn_consume(c, c->in.len);
+	while (c && more) {
+		if (c->state == CCONN_READING_HEAD) {
+			more = !c->closing && c->in.len && !is_unread(c) &&
+			       parse_head(e, c, h);
+		} else if (c->state == CCONN_READING_BODY) {
 			more = decode_body(e, c, h);
-		else
-			more = false;
+		} else {
+			c->pipelined |= c->in.len > 0;
+			more = c->in.len && !is_unread(c) && cpipe_begin(e, h);
+		}
+		/* A pipelined request adds a row, and rows move. */
+		c = get_row(e, h);
+	}
+	if (!c)
+		return;
+	unread = is_unread(c);
+	send_pending(e, c, h);
+	/* What waited for the caller to read can start now. */
+	if (unread && !c->closed && !is_unread(c)) {
+		c->input_pending = true;
+		e->caller_input_pending = true;
 	}
-	if (!c->closed)
-		send_pending(e, c, h);
 }
 
 void cconn_tick(struct edge *e)
@@ -479,7 +544,7 @@
 		if (!c->input_pending)
 			continue;
 		c->input_pending = false;
-		process_input(e, c, tab_handle(&e->caller_conns, i));
+		process_input(e, tab_handle(&e->caller_conns, i));
 	}
 }
 
@@ -493,8 +558,10 @@
 		c->state_since_ns = e->ev.now_ns;
 	strbuf_grow(&c->in, room);
 	n = recv(c->fd, c->in.ptr + c->in.len, room, MSG_DONTWAIT);
-	if (n > 0)
+	if (n > 0) {
+		arr_add(&c->arrivals, c->in.len, e->ev.now_ns);
 		c->in.len += (size_t)n;
+	}
 	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
 }
 
@@ -524,7 +591,7 @@
 			req_caller_writable(e, req);
 	}
 	if (!c->closed)
-		process_input(e, c, h);
+		process_input(e, h);
 }
 
 void cconn_add(struct edge *e, enum edge_listener listener, int fd)
@@ -553,6 +620,38 @@
 	ev_set_handler(&e->ev, EV_CALLER_CONN, on_socket_event, e);
 }
 
+/* True if the caller has taken nothing of a response for too long. */
+static bool is_stalled(const struct edge *e, struct cconn_row *c)
+{
+	uint64_t taken = c->sent_bytes;
+	int queued = 0;
+
+	if (c->out.len == c->out_sent) {
+		c->taken_ns = 0;
+		return false;
+	}
+	if (!ioctl(c->fd, SIOCOUTQ, &queued))
+		taken -= (uint64_t)queued;
+	if (!c->taken_ns || taken != c->taken_bytes)
+		c->taken_ns = e->ev.now_ns;
+	c->taken_bytes = taken;
+	return e->ev.now_ns - c->taken_ns > UNREAD_TIMEOUT_NS;
+}
+
+static void cut_unread(struct edge *e, struct cconn_row *c)
+{
+	ctr_add(CTR_TRUNCATED, 1);
+	logs_event(LOGS_INFO, "cut",
+		   (struct logs_field[]){
+			   LOGS_STR("why", STR("response not read")),
+			   LOGS_INT("bytes", c->out.len - c->out_sent),
+			   LOGS_INT("pipelined", c->held_count),
+		   },
+		   3);
+	set_reset_on_close(c);
+	close_connection(e, c, "response not read in time");
+}
+
 void cconn_expire(struct edge *e)
 {
 	int64_t now = e->ev.now_ns;
@@ -567,7 +666,11 @@
 		struct cconn_row *c = tab_at(&e->caller_conns, i);
 		int64_t age = now - c->state_since_ns;
 
-		if (c->closed || !c->response_done)
+		if (c->closed || c->held)
+			continue;
+		if (is_stalled(e, c))
+			cut_unread(e, c);
+		if (c->closed || !c->response_done || c->out.len > c->out_sent)
 			continue;
 		/* The caller was answered and does not send the rest of the
 		 * body. */
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -3,11 +3,13 @@
 
 #include "edge.h"
 #include "http_body.h"
+#include "input_arrivals.h"
 
 /*
  * Connections of callers and of the clients of the ready, directory and
- * control listeners. A connection serves one request at a time: a pipelined
- * request is parsed after the response to the previous one is complete.
+ * control listeners. A pipelined request is parsed after the response to the
+ * previous one is complete, unless it may run beside it; see
+ * edge_caller_pipeline.h.
  */
 struct cconn_row {
 	int fd;
@@ -21,8 +23,24 @@
 	} state;
 	struct hnd req;
 	struct strbuf in;
+	struct arrivals arrivals;
 	struct strbuf out;
 	size_t out_sent;
+	/* Bytes written to the socket; those of them that the caller's host had
+	 * at taken_ns, when their number last grew while out was not empty. */
+	uint64_t sent_bytes;
+	uint64_t taken_bytes;
+	int64_t taken_ns;
+	/* The row of a pipelined request that runs beside those before it: it
+	 * has no socket, and its response waits in out. */
+	bool held;
+	/* The next such row of the connection, and the number of them. */
+	struct hnd next;
+	uint32_t held_count;
+	/* The current request is safe and has no body. */
+	bool repeatable;
+	/* Further requests arrived while one was running. */
+	bool pipelined;
 	struct hbod body;
 	bool keep_alive;
 	/* The connection is closed after the current response. */
@@ -90,10 +108,15 @@
 			  struct str phrase, struct str fields, int64_t length);
 void cconn_send_body(struct edge *e, struct hnd caller, struct str data);
 void cconn_end_response(struct edge *e, struct hnd caller);
-/* Resets the connection, so that the caller detects a truncated response. */
+/* Resets the connection, so that the caller detects a truncated response. If no
+ * byte of it was passed on, as the request is pipelined, responds with 502. */
 void cconn_reset(struct edge *e, struct hnd caller);
 /* Bytes of the response that are not yet written to the socket. */
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller);
+/* Removes bytes from the input. */
+void cconn_consume(struct cconn_row *c, size_t n);
+/* Limit for the head of a request. */
+size_t cconn_max_head_bytes(const struct edge *e);
 /* True if a connection has received a part of a request, or has a response to
  * send. */
 bool cconn_any_unfinished(const struct edge *e);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -281,6 +281,25 @@
 	return h;
 }
 
+bool req_may_run_beside(const struct edge *e, const struct hreq *head)
+{
+	const struct conf_route *route;
+
+	return edge_has_state(e) && !head->chunked && !head->length &&
+	       !head->expect_continue &&
+	       chk_route(e->conf, head->host, head->path, &route) ==
+		       CHK_ROUTE_FOUND &&
+	       conf_is_repeatable(route->kind);
+}
+
+void req_set_caller(struct edge *e, struct hnd h, struct hnd caller)
+{
+	struct req_row *r = req_get(e, h);
+
+	if (r)
+		r->caller = caller;
+}
+
 static bool is_body_buffered(const struct req_row *r)
 {
 	return r->body_done || r->body.len > BODY_BUFFER_BYTES;
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -10,6 +10,8 @@
 	[CTR_UNKNOWN] = {"unknown", "Requests with an unknown outcome."},
 	[CTR_TRUNCATED] = {"cut",
 			   "Answers that ended before they were complete."},
+	[CTR_PIPELINED] = {"pipelined",
+			   "Pipelined requests run beside earlier ones."},
 	[CTR_BAD_REQUESTS] = {"bad_requests", "Malformed requests."},
 	[CTR_RETRIES] = {"retries", "Attempts after the first."},
 	[CTR_HEDGES] = {"hedges", "Hedged attempts."},
