--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -289,7 +289,7 @@
 	       !head->expect_continue &&
 	       chk_route(e->conf, head->host, head->path, &route) ==
 		       CHK_ROUTE_FOUND &&
-	       conf_is_repeatable(route->kind);
+	       route->kind == CONF_SAFE;
 }
 
 void req_set_caller(struct edge *e, struct hnd h, struct hnd caller)
--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -19,7 +19,8 @@
 struct hnd req_begin(struct edge *e, struct hnd caller, const struct hreq *head,
 		     int64_t start_ns);
 /* True if the request is safe and has no body, so that it may run beside others
- * of its connection. */
+ * of its connection. Not a download: a cut of its response resets the
+ * connection, and those beside it would be lost. */
 bool req_may_run_beside(const struct edge *e, const struct hreq *head);
 /* The response goes to this connection from now on. */
 void req_set_caller(struct edge *e, struct hnd req, struct hnd caller);
--- a/tests/test_edge_pipelines.c
+++ b/tests/test_edge_pipelines.c
@@ -67,7 +67,7 @@
 	};
 	struct conf_dest dest = {conf_service_key(FIX_SERVICE), 1};
 
-	sfix_start(&fix, &e, CONF_DOWNLOAD);
+	sfix_start(&fix, &e, CONF_SAFE);
 	e.budget_known = true;
 	conf_add_route(e.conf, &unsafe, &dest, 1);
 	conf_add_route(e.conf, &download, &dest, 1);
@@ -331,6 +331,10 @@
 	 "a200 b200 c200 ", false, false},
 	{"safe behind unsafe", "us", "a", "a", SMALL_BYTES, 0, "ab",
 	 "a200 b200 ", false, false},
+	{"download behind safe", "sds", "a", "a", SMALL_BYTES, 0, "abc",
+	 "a200 b200 c200 ", false, false},
+	{"safe behind a download", "ds", "a", "a", LARGE_BYTES, 100000, "a",
+	 "~", false, true},
 	{"unsafe behind two safe", "ssu", "ab", "ba", SMALL_BYTES, 0, "abc",
 	 "a200 b200 c200 ", false, false},
 	{"body behind", "sbs", "a", "a", SMALL_BYTES, 0, "abc",
