--- a/src/edge/request.h
+++ b/src/edge/request.h
@@ -19,6 +19,12 @@
  */
 struct hnd req_begin(struct edge *e, struct hnd caller, const struct hreq *head,
 		     int64_t start_ns);
+/* True if the request is safe and has no body, so that it may run beside others
+ * of its connection. Not a download: a cut of its response resets the
+ * connection, and those beside it would be lost. */
+bool req_may_run_beside(const struct edge *e, const struct hreq *head);
+/* The response goes to this connection from now on. */
+void req_set_caller(struct edge *e, struct hnd req, struct hnd caller);
 /* Adds a part of the body; returns as req_wants_body(). */
 bool req_body_received(struct edge *e, struct hnd req, struct str data,
 		       bool done);
@@ -57,7 +63,8 @@
 			   struct bconn_response *resp);
 /*
  * The response is larger than the buffer and is relayed as it arrives; false
- * when the caller must not get it.
+ * when the caller must not get it, and the attempt has ended. Rows of
+ * connections may have moved then.
  */
 bool req_stream_begin(struct edge *e, struct hnd req,
 		      const struct bconn_response *resp);
