--- a/scripts/edge.sh
+++ b/scripts/edge.sh
@@ -77,11 +77,11 @@
 		rules+="{\"name\":\"r-$rule\",\"kind\":\"${rule%%-*}\",
 			\"slo\":\"1000ms\",\"priority\":1,
 			\"match\":{\"prefix\":\"/$rule/\"},
-			\"action\":{\"service\":\"svc\",\"timeout\":\"3000ms\",
+			\"action\":{\"service\":\"svc\",\"timeout\":\"${route_timeout:-3000ms}\",
 			\"attempts\":2}},"
 	done
 	put_row op config "{\"version\":\"r$version\",\"limits\":{
-		\"max_header_bytes\":16384,\"max_body_bytes\":67108864,
+		\"max_header_bytes\":16384,\"max_body_bytes\":${max_body_bytes:-67108864},
 		\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"},
 		\"listeners\":[{\"host\":\"h.example\",
 		\"rules\":[${rules%,}]}],
