Tests: hostile crowds wait until the VM has handled what they sent

Cause: of one-byte chunks, most bytes are still in the buffers of the sockets when the crowd has sent all, so that the case passed on the code that has the fault.

Change: the script waits until the process is at rest before it reads its memory. Crowds and bounds are as before.

--- a/scripts/it_hostile_callers.sh
+++ b/scripts/it_hostile_callers.sh
@@ -51,6 +51,23 @@
 	start_process e1 "$build/currantpaddle" edge --settings "$dir/e1.json"
 }
 
+cpu_ticks() { # PID
+	awk '{print $14 + $15}' "/proc/$1/stat" 2>/dev/null || echo 0
+}
+
+# Waits until the process has handled what the crowd has sent, most of which may
+# be in the buffers of the sockets.
+wait_handled() { # PID
+	local n before now
+	before=$(cpu_ticks "$1")
+	for n in $(seq 60); do
+		sleep 0.5
+		now=$(cpu_ticks "$1")
+		[ $((${now:-0} - ${before:-0})) -lt 10 ] && break
+		before=$now
+	done
+}
+
 at_most() { # ACTUAL BOUND
 	[ "$1" -le "$2" ] && echo "at most $2" || echo "$1"
 }
@@ -84,6 +101,7 @@
 	done
 	check "$kind: the crowd has sent what it can" \
 		"$(grep -c settled "$dir/crowd.log")" 1
+	wait_handled "$pid"
 	resident=$(awk '/VmHWM/ {print $2}' "/proc/$pid/status" 2>/dev/null)
 	open=$(ls "/proc/$pid/fd" 2>/dev/null | wc -l)
 	echo "$kind: $callers callers, resident peak ${resident:-none} kB," \
