Memory: account of what is held for callers, with limits

Cause: each request may hold 1 MB of its body and more in the buffers to its server, and nothing bounds the sum or the number of connections.

Change: memory_account keeps the bytes held by connection and by address and decides whose reading pauses and who is given up; caller_memory carries it out and limits the descriptors that callers take. Settings memory and max_descriptors, by default from the machine. Input is received into one static buffer, so that a partial head does not take 64 KB.

--- a/src/edge/control_listener.c
+++ b/src/edge/control_listener.c
@@ -1,5 +1,6 @@
 #include "control_listener.h"
 
+#include "caller_memory.h"
 #include "state_codec.h"
 #include "metrics.h"
 #include "logs.h"
@@ -75,6 +76,7 @@
 	} else if (str_eq(req->path, STR("/metrics"))) {
 		resp->content_type = "text/plain; version=0.0.4";
 		ctr_write(&resp->body);
+		cmem_write_metrics(e, &resp->body);
 	} else if (str_eq(req->path, STR("/status"))) {
 		write_status(e, &resp->body);
 	} else {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -7,6 +7,7 @@
 
 #include <sodium.h>
 
+#include "caller_memory.h"
 #include "edge_http_client.h"
 #include "edge_caller_connection.h"
 #include "edge_listeners.h"
@@ -97,9 +98,11 @@
 	req_tick(e, now_ns);
 	cconn_tick(e);
 	stop_tick(e, now_ns);
+	cmem_tick(e);
 	req_sweep(e);
 	bconn_sweep(e);
 	cconn_sweep(e);
+	cmem_resume(e);
 	if (!e->ready_announced && edge_is_ready(e)) {
 		e->ready_announced = true;
 		emsg_send_members(e, true);
@@ -117,6 +120,9 @@
 	if (other < due)
 		due = other;
 	other = call_next_due(e);
+	if (other < due)
+		due = other;
+	other = cmem_next_due(e);
 	if (other < due)
 		due = other;
 	other = stop_next_due(e);
@@ -128,6 +134,7 @@
 	struct edge *e = ctx;
 
 	cconn_expire(e);
+	cmem_expire(e);
 	bconn_expire(e);
 	load_expire(e);
 }
@@ -149,6 +156,7 @@
 	tab_init(&e->servers, sizeof(struct srv_row));
 	tab_init(&e->requests, sizeof(struct req_row));
 	tab_init(&e->caller_conns, sizeof(struct cconn_row));
+	macc_init(&e->memory);
 	tab_init(&e->backend_conns, sizeof(struct bconn_row));
 	tab_init(&e->vms, sizeof(struct vm_row));
 	tab_init(&e->calls, sizeof(struct call_row));
@@ -167,6 +175,7 @@
 	tab_free(&e->servers);
 	tab_free(&e->requests);
 	tab_free(&e->caller_conns);
+	macc_free(&e->memory);
 	tab_free(&e->backend_conns);
 	tab_free(&e->vms);
 	tab_free(&e->calls);
@@ -188,6 +197,7 @@
 	if (ev_init(&e->ev))
 		return ERR_IO;
 	edge_init_tables(e);
+	cmem_set_limits(e);
 	clock_gettime(CLOCK_REALTIME, &now);
 	e->incarnation =
 		(uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,6 +8,7 @@
 #include "header_names.h"
 #include "edge_settings.h"
 #include "event_loop.h"
+#include "memory_account.h"
 #include "store_availability.h"
 #include "sync_ops.h"
 
@@ -453,6 +454,14 @@
 	struct tab caller_conns;
 	/* One of them may hold a further request; see cconn_tick(). */
 	bool caller_input_pending;
+	/* Bytes held for callers, and whether reading from some of them is
+	 * paused because of it. */
+	struct macc memory;
+	bool reading_paused_for_memory;
+	/* Callers' connections are accepted while fewer descriptors than this
+	 * are open; the listener is paused otherwise. */
+	uint32_t accept_below;
+	bool accepting_paused;
 	/* Reading of some body is paused. */
 	bool caller_body_paused;
 	/* Connections to backend servers. */
--- a/src/edge/edge_backend_connection.c
+++ b/src/edge/edge_backend_connection.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "backend_progress.h"
+#include "caller_memory.h"
 #include "metrics.h"
 #include "logs.h"
 #include "output_buffer.h"
@@ -256,6 +257,15 @@
 	return c ? c->out.len - c->out_sent : 0;
 }
 
+size_t bconn_held_bytes(const struct edge *e, struct hnd conn)
+{
+	const struct bconn_row *c = bconn_get(e, conn);
+
+	return c ? c->out.cap + c->in.cap + c->response.head.cap +
+			       c->response.body.cap
+		 : 0;
+}
+
 uint64_t bconn_sent_bytes(const struct edge *e, struct hnd conn)
 {
 	const struct bconn_row *c = bconn_get(e, conn);
@@ -405,9 +415,11 @@
 {
 	struct edge *e = ctx;
 	struct bconn_row *c = bconn_get(e, h);
+	struct hnd req;
 
 	if (!c)
 		return;
+	req = c->req;
 	if (c->state == BCONN_IDLE) {
 		/* The server closed it, or sent bytes outside of a response. */
 		close_connection(e, c);
@@ -424,6 +436,7 @@
 		receive(e, h);
 	else if (c && (events & (EPOLLERR | EPOLLHUP)))
 		on_close(e, h, socket_error(c));
+	cmem_update_request(e, req);
 }
 
 void bconn_resume(struct edge *e, struct hnd conn)
--- a/src/edge/edge_backend_connection.h
+++ b/src/edge/edge_backend_connection.h
@@ -80,6 +80,8 @@
 void bconn_send(struct edge *e, struct hnd conn, struct str bytes, bool last);
 /* Bytes that are queued but not yet written to the socket. */
 size_t bconn_unsent_bytes(const struct edge *e, struct hnd conn);
+/* Memory of its buffers. */
+size_t bconn_held_bytes(const struct edge *e, struct hnd conn);
 /* Bytes of the request that may have reached the backend server. */
 uint64_t bconn_sent_bytes(const struct edge *e, struct hnd conn);
 /* Ends the attempt by closing the connection to the backend server. */
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "caller_memory.h"
 #include "control_listener.h"
 #include "metrics.h"
 #include "logs.h"
@@ -44,6 +45,7 @@
 	if (c->closed)
 		return;
 	c->closed = true;
+	cmem_close(e, c);
 	c->req = HND_NONE;
 	close(c->fd);
 	c->fd = -1;
@@ -59,7 +61,7 @@
 		return;
 	c->pipeline_paused = c->state == CCONN_RESPONDING &&
 			     c->in.len >= MAX_PIPELINED_BYTES;
-	if (!c->pipeline_paused && !c->body_paused)
+	if (!c->pipeline_paused && !c->body_paused && !c->memory_paused)
 		events |= EPOLLIN;
 	if (c->out.len > c->out_sent)
 		events |= EPOLLOUT;
@@ -85,6 +87,7 @@
 			return;
 		}
 		c->out_sent += (size_t)n;
+		c->progress++;
 	}
 	out_remove_sent(&c->out, &c->out_sent);
 	/* Closing with unread input resets the connection, and the caller may
@@ -97,6 +100,7 @@
 			close_connection(e, c, "response sent");
 	}
 	set_events(e, c, h);
+	cmem_update(e, h);
 }
 
 /* The response is complete: the next request may be parsed. */
@@ -239,6 +243,24 @@
 	close_connection(e, c, "response truncated");
 }
 
+void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause)
+{
+	struct cconn_row *c = get_row(e, caller);
+
+	if (!c)
+		return;
+	c->memory_paused = pause;
+	set_events(e, c, caller);
+}
+
+void cconn_close_idle(struct edge *e, struct hnd caller)
+{
+	struct cconn_row *c = get_row(e, caller);
+
+	if (c)
+		close_connection(e, c, "idle");
+}
+
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller)
 {
 	struct cconn_row *c = get_row(e, caller);
@@ -470,15 +492,18 @@
 /* False when the caller closed the connection or reading failed. */
 static bool receive(struct edge *e, struct cconn_row *c)
 {
-	size_t room = RECV_BYTES;
+	/* Received here first, so that the buffer of a connection that sends a
+	 * few bytes at a time stays as small as they are. */
+	static char received[RECV_BYTES];
 	ssize_t n;
 
 	if (!c->in.len && !c->discarding)
 		c->state_since_ns = e->ev.now_ns;
-	strbuf_grow(&c->in, room);
-	n = recv(c->fd, c->in.ptr + c->in.len, room, MSG_DONTWAIT);
-	if (n > 0)
-		c->in.len += (size_t)n;
+	n = recv(c->fd, received, sizeof(received), MSG_DONTWAIT);
+	if (n > 0) {
+		strbuf_add(&c->in, (struct str){received, (size_t)n});
+		c->progress++;
+	}
 	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
 }
 
@@ -528,6 +553,7 @@
 	c->events = EPOLLIN | EPOLLRDHUP;
 	strbuf_init(&c->in);
 	strbuf_init(&c->out);
+	cmem_open(e, c, h);
 	if (ev_add(&e->ev, fd, EV_CALLER_CONN, h, c->events))
 		close_connection(e, c, "epoll registration failed");
 }
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -42,6 +42,12 @@
 	/* Reading is paused until the request wants more of its body, or has
 	 * ended. */
 	bool body_paused;
+	/* Reading is paused, as too much is held for callers. */
+	bool memory_paused;
+	/* In the account of what is held; see caller_memory.h. */
+	struct hnd account;
+	/* Times that bytes were received or sent. */
+	uint64_t progress;
 	/* in may hold a further request; see cconn_tick(). */
 	bool input_pending;
 	/* Bytes of the request's body so far. */
@@ -87,6 +93,10 @@
 void cconn_end_response(struct edge *e, struct hnd caller);
 /* Resets the connection, so that the caller detects a truncated response. */
 void cconn_reset(struct edge *e, struct hnd caller);
+/* Pauses or resumes reading, as caller_memory.c decides. */
+void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause);
+/* Closes an idle connection, to free its descriptor. */
+void cconn_close_idle(struct edge *e, struct hnd caller);
 /* Bytes of the response that are not yet written to the socket. */
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller);
 /* True if a connection has received a part of a request, or has a response to
--- a/src/edge/edge_listeners.c
+++ b/src/edge/edge_listeners.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "caller_memory.h"
 #include "edge_caller_connection.h"
 #include "logs.h"
 
@@ -29,15 +30,36 @@
 	return true;
 }
 
+/* The listener would report its queue again and again. */
+static void pause_accepting(struct edge *e)
+{
+	e->accepting_paused = true;
+	ev_modify(&e->ev, listeners[EDGE_LISTENER_CALLERS], EV_LISTEN,
+		  (struct hnd){EDGE_LISTENER_CALLERS, 1}, 0);
+}
+
+void lsn_resume_accepting(struct edge *e)
+{
+	e->accepting_paused = false;
+	if (listeners[EDGE_LISTENER_CALLERS] >= 0)
+		ev_modify(&e->ev, listeners[EDGE_LISTENER_CALLERS], EV_LISTEN,
+			  (struct hnd){EDGE_LISTENER_CALLERS, 1}, EPOLLIN);
+}
+
 static void on_listener_event(void *ctx, struct hnd h, uint32_t events)
 {
 	enum edge_listener listener = (enum edge_listener)h.slot;
 	struct edge *e = ctx;
 	int i;
 
-	for (i = 0; i < ACCEPT_BATCH && listeners[listener] >= 0; i++)
+	for (i = 0; i < ACCEPT_BATCH && listeners[listener] >= 0; i++) {
+		if (listener == EDGE_LISTENER_CALLERS && !cmem_make_room(e)) {
+			pause_accepting(e);
+			return;
+		}
 		if (!accept_one(e, listener))
 			return;
+	}
 }
 
 static enum err listen_on(struct edge *e, enum edge_listener listener,
@@ -86,7 +108,8 @@
 
 	/* Closing the socket would reset the connections in its queue, whose
 	 * callers may have sent a request. */
-	while (listeners[listener] >= 0 && accept_one(e, listener))
+	while (listeners[listener] >= 0 && cmem_make_room(e) &&
+	       accept_one(e, listener))
 		;
 	close_listener(listener);
 }
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -14,6 +14,11 @@
 #define DAY_S 86400.0
 #define MAX_LINK_MBPS 1000000
 #define DEFAULT_LINK_MBPS 1000
+#define MIN_MEMORY_MB 16
+#define MAX_MEMORY_MB 16777216
+/* Enough for the listeners and some connections. */
+#define MIN_DESCRIPTORS 64
+#define MAX_DESCRIPTORS 10000000
 
 enum err eset_parse_duration(struct str text, int64_t *ns)
 {
@@ -188,6 +193,10 @@
 	{"peer_port", CFG_INT, offsetof(struct eset, peer_port), 1, 65535,
 	 true},
 	{"link_mbps", CFG_CUSTOM, 0, .read = read_link},
+	{"memory", CFG_INT, offsetof(struct eset, memory_mb), MIN_MEMORY_MB,
+	 MAX_MEMORY_MB},
+	{"max_descriptors", CFG_INT, offsetof(struct eset, max_descriptors),
+	 MIN_DESCRIPTORS, MAX_DESCRIPTORS},
 	{"peer_trust", CFG_ENUM, offsetof(struct eset, peer_trusted), 0, 0,
 	 true, trusts},
 	{"drain", CFG_CUSTOM, 0, .read = read_drain},
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -58,6 +58,10 @@
 	int64_t log_level;
 	/* Capacity of this VM's network link. */
 	int64_t link_mbps;
+	/* Memory of the machine in MB, and its limit of open descriptors; 0 to
+	 * ask the machine. */
+	int64_t memory_mb;
+	int64_t max_descriptors;
 };
 
 /* Reads the settings from a file; appends messages about faults to errors. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "caller_memory.h"
 #include "edge_retry_budget.h"
 #include "edge_caller_connection.h"
 #include "metrics.h"
@@ -368,12 +369,13 @@
 	strbuf_add(&out, STR("\r\n"));
 	append_body(r, &out, strbuf_view(&r->body));
 	if (r->streaming)
-		strbuf_reset(&r->body);
+		strbuf_free(&r->body);
 	r->state = REQ_SENT;
 	r->sent_ns = e->ev.now_ns;
 	r->sends++;
 	bconn_send(e, r->backend_conn, strbuf_view(&out), r->body_done);
 	strbuf_free(&out);
+	cmem_update(e, r->caller);
 }
 
 int64_t req_mean_latency_ns(struct edge *e, const struct req_row *r)
--- a/src/edge/settings_reload.c
+++ b/src/edge/settings_reload.c
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 
 #include "backend_server.h"
+#include "caller_memory.h"
 #include "logs.h"
 #include "metrics.h"
 
@@ -83,7 +84,9 @@
 	       a->retry_window_ns == b->retry_window_ns &&
 	       a->floor_permille == b->floor_permille &&
 	       a->log_level == b->log_level && a->link_mbps == b->link_mbps &&
-	       same_zones(a, b) && same_seeds(a, b);
+	       a->memory_mb == b->memory_mb &&
+	       a->max_descriptors == b->max_descriptors && same_zones(a, b) &&
+	       same_seeds(a, b);
 }
 
 bool rset_apply(struct edge *e, struct eset *fresh, struct strbuf *restart)
@@ -94,6 +97,7 @@
 	keep_fixed(fresh, &e->settings, restart);
 	eset_free(&e->settings);
 	e->settings = *fresh;
+	cmem_set_limits(e);
 	for (i = 0; i < e->servers.len; i++) {
 		struct srv_row *s = tab_at(&e->servers, i);
 
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -40,6 +40,15 @@
 				    "effect."},
 	[CTR_RELOAD_ERRORS] = {"reload_errors",
 			       "Changed settings that are invalid."},
+	[CTR_MEMORY_REFUSED] = {"memory_refused",
+				"Requests refused as not run, as too much was "
+				"held for callers or their body stalled."},
+	[CTR_MEMORY_CLOSED] = {"memory_closed",
+			       "Connections reset for the same reason."},
+	[CTR_IDLE_CLOSED] =
+		{"idle_closed",
+		 "Idle connections closed for new ones, as too many "
+		 "descriptors were open."},
 	[CTR_ADMIN_DENIED] = {"admin_denied",
 			      "Administration requests without the right."},
 };
