Memory: a new caller gets in although a crowd takes all descriptors

Cause: callers with 800 pipelined requests each are never idle, so that no descriptor became free for others until they ended.

Change: for a new connection, one that is idle or has stalled is closed, or else one whose request was not sent is refused with 503, at the address with most connections. A connection is accepted before another one is closed for it, as the listener may have been reported in vain, and one that is new or was just answered is not preferred.

--- a/src/edge/caller_memory.c
+++ b/src/edge/caller_memory.c
@@ -169,24 +169,39 @@
 	cconn_reset(e, caller);
 }
 
-static uint32_t open_descriptors(const struct edge *e)
+static bool has_room(const struct edge *e)
 {
-	return e->caller_conns.len + e->backend_conns.len + e->calls.len +
-	       OTHER_DESCRIPTORS;
+	uint32_t open = e->caller_conns.len + e->backend_conns.len +
+			e->calls.len + OTHER_DESCRIPTORS;
+
+	return open < e->accept_below;
+}
+
+static void close_for_room(struct edge *e, struct hnd caller)
+{
+	give_up(e, caller, 503, "too many connections");
+	/* For one that does not read the refusal. */
+	cconn_reset(e, caller);
 }
 
-bool cmem_make_room(struct edge *e)
+bool cmem_may_accept(const struct edge *e)
 {
-	struct hnd idle;
-
-	if (open_descriptors(e) < e->accept_below)
-		return true;
-	idle = macc_choose_idle(&e->memory);
-	if (hnd_eq(idle, HND_NONE))
-		return false;
-	ctr_add(CTR_IDLE_CLOSED, 1);
-	cconn_close_idle(e, idle);
-	return true;
+	return has_room(e) ||
+	       !hnd_eq(macc_choose_for_room(&e->memory, e->ev.now_ns),
+		       HND_NONE);
+}
+
+void cmem_make_room(struct edge *e)
+{
+	struct hnd conn;
+
+	if (has_room(e))
+		return;
+	conn = macc_choose_for_room(&e->memory, e->ev.now_ns);
+	if (hnd_eq(conn, HND_NONE))
+		return;
+	ctr_add(CTR_CLOSED_FOR_ROOM, 1);
+	close_for_room(e, conn);
 }
 
 static void resume_connection(struct edge *e, struct hnd caller)
@@ -236,7 +251,7 @@
 {
 	if (e->reading_paused_for_memory)
 		resume_reading(e);
-	if (e->accepting_paused && open_descriptors(e) < e->accept_below)
+	if (e->accepting_paused && cmem_may_accept(e))
 		lsn_resume_accepting(e);
 }
 
--- a/src/edge/caller_memory.h
+++ b/src/edge/caller_memory.h
@@ -18,8 +18,10 @@
  * connection to the backend server have changed. */
 void cmem_update(struct edge *e, struct hnd caller);
 void cmem_update_request(struct edge *e, struct hnd req);
-/* True if a connection may be accepted; may close an idle one for it. */
-bool cmem_make_room(struct edge *e);
+/* True if a connection may be accepted. */
+bool cmem_may_accept(const struct edge *e);
+/* Closes another connection for one that was accepted, if needed. */
+void cmem_make_room(struct edge *e);
 /* Gives up connections. */
 void cmem_tick(struct edge *e);
 /* Resumes reading and accepting. */
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -253,14 +253,6 @@
 	set_events(e, c, caller);
 }
 
-void cconn_close_idle(struct edge *e, struct hnd caller)
-{
-	struct cconn_row *c = get_row(e, caller);
-
-	if (c)
-		close_connection(e, c, "idle");
-}
-
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller)
 {
 	struct cconn_row *c = get_row(e, caller);
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -95,8 +95,6 @@
 void cconn_reset(struct edge *e, struct hnd caller);
 /* Pauses or resumes reading, as caller_memory.c decides. */
 void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause);
-/* Closes an idle connection, to free its descriptor. */
-void cconn_close_idle(struct edge *e, struct hnd caller);
 /* Bytes of the response that are not yet written to the socket. */
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller);
 /* True if a connection has received a part of a request, or has a response to
--- a/src/edge/edge_listeners.c
+++ b/src/edge/edge_listeners.c
@@ -26,6 +26,8 @@
 			 "cannot accept a connection: out of file descriptors");
 	if (fd < 0)
 		return false;
+	if (listener == EDGE_LISTENER_CALLERS)
+		cmem_make_room(e);
 	cconn_add(e, listener, fd);
 	return true;
 }
@@ -53,7 +55,7 @@
 	int i;
 
 	for (i = 0; i < ACCEPT_BATCH && listeners[listener] >= 0; i++) {
-		if (listener == EDGE_LISTENER_CALLERS && !cmem_make_room(e)) {
+		if (listener == EDGE_LISTENER_CALLERS && !cmem_may_accept(e)) {
 			pause_accepting(e);
 			return;
 		}
@@ -108,7 +110,7 @@
 
 	/* Closing the socket would reset the connections in its queue, whose
 	 * callers may have sent a request. */
-	while (listeners[listener] >= 0 && cmem_make_room(e) &&
+	while (listeners[listener] >= 0 && cmem_may_accept(e) &&
 	       accept_one(e, listener))
 		;
 	close_listener(listener);
--- a/src/edge/memory_account.c
+++ b/src/edge/memory_account.c
@@ -201,22 +201,46 @@
 	return best;
 }
 
-struct hnd macc_choose_idle(const struct macc *m)
+/* 0 for a connection that is not closed for a new one; larger values first. */
+static int room_rank(const struct macc_holder *h, int64_t now_ns)
+{
+	int64_t age_ns = now_ns - h->progress_ns;
+
+	switch (h->usage.state) {
+	case MACC_IDLE:
+		return age_ns >= MACC_FRESH_NS ? 2 : 1;
+	case MACC_UNSENT:
+		return 1;
+	case MACC_BODY:
+	case MACC_RESPONSE:
+		return age_ns >= MACC_STALLED_NS ? 2 : 0;
+	case MACC_SENT:
+	default:
+		return 0;
+	}
+}
+
+struct hnd macc_choose_for_room(const struct macc *m, int64_t now_ns)
 {
 	struct hnd best = HND_NONE;
 	uint32_t most = 0, i;
 	int64_t oldest = 0;
+	int best_rank = 0;
 
 	for (i = 0; i < m->holders.len; i++) {
 		const struct macc_holder *h = tab_at(&m->holders, i);
 		const struct macc_address *a =
 			tab_get(&m->addresses, h->address);
+		int rank = room_rank(h, now_ns);
 
-		if (h->usage.state != MACC_IDLE || a->holders < most)
+		if (!rank || a->holders < most)
 			continue;
-		if (a->holders == most && h->progress_ns >= oldest)
+		if (a->holders == most &&
+		    (rank < best_rank ||
+		     (rank == best_rank && h->progress_ns >= oldest)))
 			continue;
 		best = h->conn;
+		best_rank = rank;
 		most = a->holders;
 		oldest = h->progress_ns;
 	}
--- a/src/edge/memory_account.h
+++ b/src/edge/memory_account.h
@@ -28,6 +28,10 @@
  * retransmission. */
 #define MACC_STALLED_NS INT64_C(2000000000)
 
+/* A connection that was accepted or answered less than this ago is not closed
+ * before others for a new one: its request may be on its way. */
+#define MACC_FRESH_NS INT64_C(300000000)
+
 /* What a connection does, in the order in which it is given up. */
 enum macc_state {
 	/* Its request's body is being received. */
@@ -94,9 +98,10 @@
 bool macc_must_pause(const struct macc *m, struct hnd holder);
 /* The connection to give up now; HND_NONE if there is no need, or none. */
 struct hnd macc_choose(struct macc *m, int64_t now_ns);
-/* Idle connection to close for a new one: the one without progress for the
- * longest time, of the address with most connections; HND_NONE for none. */
-struct hnd macc_choose_idle(const struct macc *m);
+/* Connection to close for a new one, of the address with most connections: idle
+ * or with a body or response that has stalled, or else with a request that was
+ * not sent; without progress for the longest time; HND_NONE for none. */
+struct hnd macc_choose_for_room(const struct macc *m, int64_t now_ns);
 /* True for a body that the caller has not continued for that time. */
 bool macc_is_stalled(const struct macc_holder *h, int64_t now_ns,
 		     int64_t limit_ns);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -45,10 +45,9 @@
 				"held for callers or their body stalled."},
 	[CTR_MEMORY_CLOSED] = {"memory_closed",
 			       "Connections reset for the same reason."},
-	[CTR_IDLE_CLOSED] =
-		{"idle_closed",
-		 "Idle connections closed for new ones, as too many "
-		 "descriptors were open."},
+	[CTR_CLOSED_FOR_ROOM] = {"closed_for_room",
+				 "Connections closed for new ones, as too many "
+				 "descriptors were open."},
 	[CTR_ADMIN_DENIED] = {"admin_denied",
 			      "Administration requests without the right."},
 };
--- a/tests/test_memory_account.c
+++ b/tests/test_memory_account.c
@@ -210,10 +210,10 @@
 
 	(void)state;
 	macc_init(&m);
-	assert_true(hnd_eq(macc_choose_idle(&m), HND_NONE));
+	assert_true(hnd_eq(macc_choose_for_room(&m, 2999 * MS), HND_NONE));
 	for (i = 0; i < COUNT(holders); i++)
 		add(&m, i, &holders[i]);
-	assert_int_equal(macc_choose_idle(&m).slot, 2);
+	assert_int_equal(macc_choose_for_room(&m, 2999 * MS).slot, 2);
 	macc_free(&m);
 }
 
