--- a/src/edge/control_listener.c
+++ b/src/edge/control_listener.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "caller_memory.h"
 #include "state_codec.h"
 #include "metrics.h"
 #include "request.h"
@@ -86,6 +87,7 @@
 	for (i = 0; i < CTR_QUEUE_PRIORITIES; i++)
 		ctr_set_queue_length(i, waiting[i]);
 	ctr_write(out);
+	cmem_write_metrics(e, out);
 }
 
 void ctl_handle_request(struct edge *e, const struct hreq *req,
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "caller_memory.h"
 #include "control_listener.h"
 #include "edge_caller_pipeline.h"
 #include "metrics.h"
@@ -62,6 +63,7 @@
 	if (c->closed)
 		return;
 	c->closed = true;
+	cmem_close(e, c);
 	c->req = HND_NONE;
 	cpipe_cancel(e, c, why);
 	/* After a FIN, the response would look complete. */
@@ -88,7 +90,7 @@
 		return;
 	c->pipeline_paused = (c->state == CCONN_RESPONDING || is_unread(c)) &&
 			     c->in.len >= MAX_PIPELINED_BYTES;
-	if (!c->pipeline_paused && !c->body_paused)
+	if (!c->pipeline_paused && !c->body_paused && !c->memory_paused)
 		events |= EPOLLIN;
 	if (c->out.len > c->out_sent)
 		events |= EPOLLOUT;
@@ -153,11 +155,13 @@
 		}
 		c->out_sent += (size_t)n;
 		c->sent_bytes += (uint64_t)n;
+		c->progress++;
 	}
 	out_remove_sent(&c->out, &c->out_sent);
 	if (!c->out.len && c->closing && c->response_done)
 		end_connection(e, c);
 	set_events(e, c, h);
+	cmem_update(e, h);
 }
 
 /* Passes on what waits of the next pipelined request's response. */
@@ -317,7 +321,8 @@
 		return;
 	c->req = HND_NONE;
 	if (c->held) {
-		strbuf_reset(&c->out);
+		strbuf_free(&c->out);
+		strbuf_init(&c->out);
 		c->chunked_response = false;
 		cconn_respond(e, caller, 502, "response truncated", 0);
 		return;
@@ -326,6 +331,16 @@
 	close_connection(e, c, "response truncated");
 }
 
+void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause)
+{
+	struct cconn_row *c = get_row(e, caller);
+
+	if (!c)
+		return;
+	c->memory_paused = pause;
+	set_events(e, c, caller);
+}
+
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller)
 {
 	struct cconn_row *c = get_row(e, caller);
@@ -555,16 +570,18 @@
 /* False when the caller closed the connection or reading failed. */
 static bool receive(struct edge *e, struct cconn_row *c)
 {
-	size_t room = RECV_BYTES;
+	/* Received here first, so that the buffer of a connection that sends a
+	 * few bytes at a time stays as small as they are. */
+	static char received[RECV_BYTES];
 	ssize_t n;
 
 	if (!c->in.len && !c->discarding)
 		c->state_since_ns = e->ev.now_ns;
-	strbuf_grow(&c->in, room);
-	n = recv(c->fd, c->in.ptr + c->in.len, room, MSG_DONTWAIT);
+	n = recv(c->fd, received, sizeof(received), MSG_DONTWAIT);
 	if (n > 0) {
 		arr_add(&c->arrivals, c->in.len, e->ev.now_ns);
-		c->in.len += (size_t)n;
+		strbuf_add(&c->in, (struct str){received, (size_t)n});
+		c->progress++;
 	}
 	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
 }
@@ -615,6 +632,7 @@
 	c->events = EPOLLIN | EPOLLRDHUP;
 	strbuf_init(&c->in);
 	strbuf_init(&c->out);
+	cmem_open(e, c, h, fd);
 	if (ev_add(&e->ev, fd, EV_CALLER_CONN, h, c->events))
 		close_connection(e, c, "epoll registration failed");
 }
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -64,6 +64,12 @@
 	/* Reading is paused until the request wants more of its body, or has
 	 * ended. */
 	bool body_paused;
+	/* Reading is paused, as too much is held for callers. */
+	bool memory_paused;
+	/* In the account of what is held; see caller_memory.h. */
+	struct hnd account;
+	/* Times that bytes were received or sent. */
+	uint64_t progress;
 	/* in may hold a further request; see cconn_tick(). */
 	bool input_pending;
 	/* Bytes of the request's body so far. */
@@ -111,6 +117,8 @@
 /* Resets the connection, so that the caller detects a truncated response. If no
  * byte of it was passed on, as the request is pipelined, responds with 502. */
 void cconn_reset(struct edge *e, struct hnd caller);
+/* Pauses or resumes reading, as caller_memory.c decides. */
+void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause);
 /* Bytes of the response that are not yet written to the socket. */
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller);
 /* Removes bytes from the input. */
--- a/src/edge/edge_caller_pipeline.c
+++ b/src/edge/edge_caller_pipeline.c
@@ -1,5 +1,6 @@
 #include "edge_caller_pipeline.h"
 
+#include "caller_memory.h"
 #include "metrics.h"
 #include "request.h"
 
@@ -38,6 +39,7 @@
 	held->state_since_ns = e->ev.now_ns;
 	strbuf_init(&held->in);
 	strbuf_init(&held->out);
+	cmem_open(e, held, h, c->fd);
 	c->held_count++;
 	last_row(e, c)->next = h;
 	return h;
@@ -76,6 +78,7 @@
 	c->next = held->next;
 	c->held_count--;
 	held->closed = true;
+	cmem_close(e, held);
 	c->state = CCONN_RESPONDING;
 	c->req = held->req;
 	c->keep_alive = held->keep_alive;
@@ -102,6 +105,7 @@
 
 		next = held->next;
 		held->closed = true;
+		cmem_close(e, held);
 		req_cancel(e, held->req, why);
 		held->req = HND_NONE;
 	}
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -48,6 +48,14 @@
 			       "Changed settings that are invalid."},
 	[CTR_STORE_ERAS] = {"store_eras",
 			    "Eras of the store heard, the first included."},
+	[CTR_MEMORY_REFUSED] = {"memory_refused",
+				"Requests refused as not run, as too much was "
+				"held for callers or their body stalled."},
+	[CTR_MEMORY_CLOSED] = {"memory_closed",
+			       "Connections reset for the same reason."},
+	[CTR_CLOSED_FOR_ROOM] = {"closed_for_room",
+				 "Connections closed for new ones, as too many "
+				 "descriptors were open."},
 	[CTR_ADMIN_DENIED] = {"admin_denied",
 			      "Administration requests without the right."},
 };
