--- a/scripts/edge.sh
+++ b/scripts/edge.sh
@@ -102,7 +102,7 @@
 		\"born\":${server_start_ms[$1]:-1},
 		\"info\":{\"service\":\"svc\",\"version\":\"v1\",
 		\"zone\":\"${server_zones[$1]}\",\"slots\":6},
-		\"status\":{\"state\":\"$2\",\"seq\":1,
+		\"status\":{\"state\":\"$2\",\"seq\":${server_seq:-1},
 		\"warmup_left\":\"0ms\"}}"
 }
 
--- a/tools/rowsd.c
+++ b/tools/rowsd.c
@@ -11,8 +11,11 @@
  * ...]}. The fault applies to these clients, or to all without "clients". A
  * request without "delay_ms" or "clients" resets them.
  * {"forget": true} compacts the change feed: reads from an older version get
- * 410. GET /stats returns call counts. Writes to the tables "op" and "servers"
- * need the header X-Operator.
+ * 410. {"save": true} keeps a copy of the rows. {"drill": SECONDS} returns to
+ * the rows as they were then, {"drill": "saved"} to the copy: later rows are
+ * gone, versions go back, reads from a version that is gone get 410, and
+ * Store-Era, in all responses, rises by one. GET /stats returns call counts.
+ * Writes to the tables "op" and "servers" need the header X-Operator.
  */
 #include <civetweb.h>
 #include <glib.h>
@@ -60,6 +63,12 @@
 	MODE_LOSE_BEFORE,
 };
 
+/* A row as a transaction left it, in the order of their versions. */
+struct change {
+	struct row row;
+	int64_t time_ns;
+};
+
 static const char *const mode_names[] = {
 	"up", "down", "busy", "slow", "silent", "lose", "lose_before",
 };
@@ -69,6 +78,11 @@
 	struct row *rows;
 	size_t count, cap;
 	uint64_t ver;
+	uint64_t era;
+	struct change *changes;
+	size_t change_count, change_cap;
+	/* Version of the copy that is kept. */
+	uint64_t saved_ver;
 	/* The change feed is compacted up to this version. */
 	uint64_t compacted_ver;
 	enum mode mode;
@@ -80,14 +94,23 @@
 	uint64_t max_reads_per_s, max_writes_per_s;
 	uint64_t reads_in_window, writes_in_window;
 	int64_t window_start_ns;
-} store = {.lock = PTHREAD_MUTEX_INITIALIZER};
+} store = {.lock = PTHREAD_MUTEX_INITIALIZER, .era = 1};
+
+/* Era of the rows in the response that this thread prepares. */
+static _Thread_local uint64_t response_era;
+
+static void lock_store(void)
+{
+	pthread_mutex_lock(&store.lock);
+	response_era = store.era;
+}
 
 static int send_json(struct mg_connection *c, int status, const char *body)
 {
 	mg_printf(c,
 		  "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n"
-		  "Content-Length: %zu\r\n\r\n%s",
-		  status, strlen(body), body);
+		  "Store-Era: %llu\r\nContent-Length: %zu\r\n\r\n%s",
+		  status, (unsigned long long)response_era, strlen(body), body);
 	return status;
 }
 
@@ -149,7 +172,7 @@
 	enum mode mode;
 	int64_t now = tmr_now(), delay;
 
-	pthread_mutex_lock(&store.lock);
+	lock_store();
 	if (now - store.window_start_ns >= NS_PER_S) {
 		store.window_start_ns = now;
 		store.reads_in_window = store.writes_in_window = 0;
@@ -186,6 +209,23 @@
 	return NULL;
 }
 
+static void record_change(const struct row *r)
+{
+	struct change *c;
+
+	if (store.change_count == store.change_cap) {
+		store.change_cap = store.change_cap ? store.change_cap * 2 : 64;
+		store.changes =
+			realloc(store.changes, store.change_cap * sizeof(*c));
+		if (!store.changes)
+			abort();
+	}
+	c = &store.changes[store.change_count++];
+	c->row = *r;
+	c->row.value = r->value ? strdup(r->value) : NULL;
+	c->time_ns = tmr_now();
+}
+
 static void set_row(const char *table, const char *part, const char *key,
 		    const char *value)
 {
@@ -209,6 +249,46 @@
 	r->value = value ? strdup(value) : NULL;
 	r->deleted = !value;
 	r->ver = store.ver;
+	record_change(r);
+}
+
+/* Returns to the rows as of a version. The lock is held. */
+static void restore_rows(uint64_t ver)
+{
+	struct change *changes = store.changes;
+	size_t i, count = store.change_count;
+
+	for (i = 0; i < store.count; i++)
+		free(store.rows[i].value);
+	store.count = 0;
+	store.changes = NULL;
+	store.change_count = store.change_cap = 0;
+	for (i = 0; i < count; i++) {
+		const struct row *r = &changes[i].row;
+
+		store.ver = r->ver;
+		if (r->ver <= ver) {
+			set_row(r->table, r->part, r->key, r->value);
+			store.changes[store.change_count - 1].time_ns =
+				changes[i].time_ns;
+		}
+		free(changes[i].row.value);
+	}
+	free(changes);
+	store.ver = ver;
+	if (store.compacted_ver > ver)
+		store.compacted_ver = ver;
+	response_era = ++store.era;
+}
+
+/* Version of the store at that time. */
+static uint64_t version_at(int64_t time_ns)
+{
+	size_t i = store.change_count;
+
+	while (i > 0 && store.changes[i - 1].time_ns > time_ns)
+		i--;
+	return i ? store.changes[i - 1].row.ver : 0;
 }
 
 static void append_row(struct strbuf *out, const struct row *r)
@@ -286,7 +366,7 @@
 		limit = MAX_ROWS_PER_CALL;
 	strbuf_init(&out);
 	strbuf_add(&out, STR("{\"rows\":["));
-	pthread_mutex_lock(&store.lock);
+	lock_store();
 	found = calloc(store.count + 1, sizeof(struct row *));
 	for (i = 0; found && i < store.count; i++) {
 		struct row *r = &store.rows[i];
@@ -343,8 +423,8 @@
 		size_t n;
 
 		strbuf_set(&out, STR("{\"rows\":["));
-		pthread_mutex_lock(&store.lock);
-		is_compacted = after < store.compacted_ver;
+		lock_store();
+		is_compacted = after < store.compacted_ver || after > store.ver;
 		n = append_changes(&out, table, after);
 		append_trailer(&out, false);
 		pthread_mutex_unlock(&store.lock);
@@ -428,7 +508,7 @@
 		status = 400;
 	else if (!may_write(c, puts) || !may_write(c, removes))
 		status = 403;
-	pthread_mutex_lock(&store.lock);
+	lock_store();
 	if (status == 200 &&
 	    !versions_match(json_object_object_get(tx, "expected_rev")))
 		status = 412;
@@ -446,7 +526,7 @@
 
 static int on_control(struct mg_connection *c, void *ctx)
 {
-	struct json_object *o, *clients;
+	struct json_object *o, *clients, *drill;
 	struct strbuf body;
 	size_t i;
 
@@ -455,7 +535,7 @@
 	read_body(c, &body);
 	o = json_tokener_parse(strbuf_cstr(&body));
 	strbuf_free(&body);
-	pthread_mutex_lock(&store.lock);
+	lock_store();
 	for (i = 0; i < sizeof(mode_names) / sizeof(mode_names[0]); i++)
 		if (!strcmp(mode_names[i], get_string(o, "mode")))
 			store.mode = (enum mode)i;
@@ -466,6 +546,15 @@
 		 str_from(clients ? json_object_to_json_string(clients) : ""));
 	if (json_object_object_get(o, "forget"))
 		store.compacted_ver = store.ver;
+	if (json_object_object_get(o, "save"))
+		store.saved_ver = store.ver;
+	drill = json_object_object_get(o, "drill");
+	if (drill)
+		restore_rows(json_object_is_type(drill, json_type_string)
+				     ? store.saved_ver
+				     : version_at(tmr_now() -
+						  json_object_get_int64(drill) *
+							  NS_PER_S));
 	pthread_mutex_unlock(&store.lock);
 	json_object_put(o);
 	return send_json(c, 200, "{}");
@@ -476,7 +565,7 @@
 	char body[128];
 
 	(void)ctx;
-	pthread_mutex_lock(&store.lock);
+	lock_store();
 	snprintf(body, sizeof(body),
 		 "{\"reads\":%llu,\"writes\":%llu,\"refused\":%llu}",
 		 (unsigned long long)store.reads,
