Docs: eras of the store

Design note, table of failures, operations, glossary. it_store_drill.sh writes its probe row with a rising sequence: with the same one, a VM takes it for the row of a server that had left.

--- a/scripts/it_store_drill.sh
+++ b/scripts/it_store_drill.sh
@@ -58,7 +58,7 @@
 	control_store '{"mode": "up", "drill": "saved"}'
 	wait_for "all VMs have heard era $1" "$1 $1 $1" numbers era
 	# A row that is written now comes after those of the copy.
-	put_server 9 ready
+	server_seq=$1 put_server 9 ready
 	wait_for "all VMs have read its servers" "ready ready ready" states 9
 	remove_row servers i-9
 	wait_for "a removal is known" yes unused 9
