--- a/src/edge/caller_memory.c
+++ b/src/edge/caller_memory.c
@@ -32,15 +32,21 @@
 
 static uint64_t machine_memory_bytes(void)
 {
-	unsigned long long kb = 0;
+	uint64_t kb = 0;
 	FILE *f = fopen("/proc/meminfo", "re");
 	char line[128];
 
 	if (!f)
 		return 0;
-	while (!kb && fgets(line, sizeof(line), f))
-		if (sscanf(line, "MemTotal: %llu kB", &kb) != 1)
-			kb = 0;
+	while (!kb && fgets(line, sizeof(line), f)) {
+		struct str value = str_from(line);
+		struct str name = str_split(&value, ':');
+
+		value = str_trim(value);
+		if (str_eq(name, STR("MemTotal")) &&
+		    !str_parse_u64(str_split(&value, ' '), &kb))
+			break;
+	}
 	fclose(f);
 	return kb * 1024;
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -157,6 +157,7 @@
 	tab_init(&e->requests, sizeof(struct req_row));
 	tab_init(&e->caller_conns, sizeof(struct cconn_row));
 	macc_init(&e->memory);
+	e->accept_below = UINT32_MAX;
 	tab_init(&e->backend_conns, sizeof(struct bconn_row));
 	tab_init(&e->vms, sizeof(struct vm_row));
 	tab_init(&e->calls, sizeof(struct call_row));
