--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -74,6 +74,10 @@
 	int64_t bucket_start_ns;
 	/* Retries since the last report to the peers. */
 	uint32_t unreported_retries;
+	/* Priority of the most urgent requests of this VM of a window, and when
+	 * the last one of them arrived; 0 for never. */
+	uint32_t urgent_priority;
+	int64_t urgent_ns;
 	/* Requests that may be repeated, of this VM: decaying count as of
 	 * safe_count_ns. */
 	double safe_count;
--- a/src/edge/edge_retry_budget.c
+++ b/src/edge/edge_retry_budget.c
@@ -27,6 +27,11 @@
 /* Part of the limit up to which trials may cost retries. */
 #define TRIAL_PERMILLE 600
 
+/* Part of the limit for requests that are not the most urgent ones of their
+ * service. While servers refuse many requests, the budget is used up, and
+ * retries in order of arrival served the most urgent ones no better. */
+#define LESS_URGENT_PERMILLE 800
+
 /* Buckets that count as recent: three seconds of a window of 10 s. */
 #define RECENT_BUCKETS 6
 /* Highest failure rate of recent requests that counts as low. */
@@ -288,15 +293,36 @@
 	return used * 1000 <= allowed * permille / 1000;
 }
 
-bool bud_take(struct edge *e, struct svc_row *svc)
+void bud_record_priority(struct edge *e, struct svc_row *svc, uint32_t priority)
+{
+	if (svc->urgent_ns && priority > svc->urgent_priority &&
+	    e->ev.now_ns - svc->urgent_ns < e->settings.retry_window_ns)
+		return;
+	svc->urgent_priority = priority;
+	svc->urgent_ns = e->ev.now_ns;
+}
+
+static bool take(struct edge *e, struct svc_row *svc, int64_t permille)
 {
-	if (!is_within_limit(e, svc, 1000))
+	if (!is_within_limit(e, svc, permille))
 		return false;
 	svc->retries[0]++;
 	svc->unreported_retries++;
 	return true;
 }
 
+bool bud_take(struct edge *e, struct svc_row *svc)
+{
+	return take(e, svc, 1000);
+}
+
+bool bud_take_for(struct edge *e, struct svc_row *svc, uint32_t priority)
+{
+	return take(e, svc,
+		    priority > svc->urgent_priority ? LESS_URGENT_PERMILLE
+						    : 1000);
+}
+
 bool bud_allows_trial(struct edge *e, struct svc_row *svc)
 {
 	return is_within_limit(e, svc, TRIAL_PERMILLE);
--- a/src/edge/edge_retry_budget.h
+++ b/src/edge/edge_retry_budget.h
@@ -12,9 +12,9 @@
  * fixed number.
  *
  * Retries count for a whole window, also those of VMs that end or fall silent:
- * their peers keep the counts and report them. A VM that starts makes no retry
- * until it has these counts or has run for a window, unless the whole fleet
- * starts for the first time.
+ * their peers keep the counts and report them. A VM that starts makes few
+ * retries until it has these counts or has run for a window, unless the whole
+ * fleet starts for the first time.
  */
 
 /* Counts a request. */
@@ -25,8 +25,14 @@
 /* True while only a small part of the region's recent requests to the service
  * fail. */
 bool bud_low_failure_rate(struct edge *e, struct svc_row *svc);
+/* Records the priority of a request that was counted. */
+void bud_record_priority(struct edge *e, struct svc_row *svc,
+			 uint32_t priority);
 /* True when the budget allows one more retry, which is then counted. */
 bool bud_take(struct edge *e, struct svc_row *svc);
+/* The same for a request of that priority: the last part of the budget is kept
+ * for the most urgent requests of the service. */
+bool bud_take_for(struct edge *e, struct svc_row *svc, uint32_t priority);
 /* True when the budget can cover the retry after a failed trial of an ejected
  * server; counts nothing. */
 bool bud_allows_trial(struct edge *e, struct svc_row *svc);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -279,6 +279,7 @@
 	struct svc_row *svc = edge_service(e, r->service);
 
 	bud_count_request(e, svc);
+	bud_record_priority(e, svc, r->priority);
 	if (conf_is_repeatable(r->kind))
 		hlth_count_safe_request(e, svc);
 }
--- a/src/edge/request_attempt.c
+++ b/src/edge/request_attempt.c
@@ -23,7 +23,7 @@
 		return false;
 	if (r->may_have_run && !conf_is_repeatable(r->kind))
 		return false;
-	if (!bud_take(e, edge_service(e, r->service))) {
+	if (!bud_take_for(e, edge_service(e, r->service), r->priority)) {
 		req_log(e, r, "no_budget", why, 0);
 		return false;
 	}
--- a/tests/test_edge_health.c
+++ b/tests/test_edge_health.c
@@ -405,6 +405,47 @@
 	}
 }
 
+/* Guards against retries of less urgent requests that leave none for the most
+ * urgent ones of the service. */
+static void test_budget_by_priority(void **state)
+{
+	static const struct {
+		const char *name;
+		/* Priorities of the requests, -1 for none, and of the retries.
+		 */
+		int seen[2];
+		uint32_t priority;
+		int granted;
+	} cases[] = {
+		{"most urgent", {0, 2}, 0, 10},
+		{"less urgent", {0, 2}, 2, 8},
+		{"the only priority", {2, -1}, 2, 10},
+		{"order of arrival", {2, 0}, 2, 8},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct svc_row *svc;
+		int k, granted = 0;
+
+		fix_init(&e);
+		svc = edge_service(&e, conf_service_key(FIX_SERVICE));
+		for (k = 0; k < 2 && cases[i].seen[k] >= 0; k++)
+			bud_record_priority(&e, svc,
+					    (uint32_t)cases[i].seen[k]);
+		for (k = 0; k < 20; k++)
+			granted += bud_take_for(&e, svc, cases[i].priority);
+		if (granted != cases[i].granted)
+			fail_msg("%s: %d retries", cases[i].name, granted);
+		/* The urgent ones of long ago keep nothing in reserve. */
+		fix_advance(&e, 60 * NS_PER_S);
+		bud_record_priority(&e, svc, 3);
+		assert_int_equal(svc->urgent_priority, 3);
+		fix_free(&e);
+	}
+}
+
 /* Guards against a VM with many failures that is denied retries while its peers
  * leave their parts of the budget unused, which made 683 of 7,237 reads fail,
  * and against more retries by all VMs together than the limit. */
@@ -536,6 +577,7 @@
 		cmocka_unit_test(test_floor),
 		cmocka_unit_test(test_placement),
 		cmocka_unit_test(test_budget),
+		cmocka_unit_test(test_budget_by_priority),
 		cmocka_unit_test(test_shared_budget),
 		cmocka_unit_test(test_fleet_budget),
 	};
