Fixes of the review: closing pipelines, quotas of a held configuration, ranks, eras

Cause, found by reading (two reviewers who did not write the parts): - responses followed one with Connection: close when a pipelined request was given up for memory; - a configuration that was held back came in force without its quotas, and could be lost when its readers ended; - each dispatch walked all VMs for each server to rank trials; - a token given back did not return its share, so a hot team ran less than its quota; requests that had waited drew their share twice; - complete responses of pipelined requests were not in the memory account, and their rows, which have no descriptor, were closed to make room for one; - any datagram could raise the era of the store; - a configuration with over 1,000 keys of a team was in force at its readers only, as others cannot decode it; - complete responses were cut after 5 s unread. Change: as listed, each in its place.

--- a/src/edge/caller_memory.c
+++ b/src/edge/caller_memory.c
@@ -140,6 +140,7 @@
 		.bytes = c->in.cap + c->out.cap + (r ? request_bytes(e, r) : 0),
 		.progress = c->progress,
 		.paused = c->body_paused || c->memory_paused,
+		.no_descriptor = c->held,
 	};
 	macc_update(&e->memory, c->account, &usage, e->ev.now_ns);
 	if (c->memory_paused || !must_pause(e, c))
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -119,6 +119,7 @@
 	conf_free(e->conf);
 	e->conf = e->held_conf;
 	e->held_conf = NULL;
+	quota_set_conf(&e->quota, e->conf, e->ev.now_ns);
 }
 
 struct svc_row *edge_service(struct edge *e, uint64_t key)
@@ -164,7 +165,7 @@
 	int64_t due = req_next_due(e);
 	int64_t other = srv_next_due(e);
 
-	if (e->caller_input_pending)
+	if (e->caller_input_pending || e->queue_wake)
 		return e->ev.now_ns;
 	if (other < due)
 		due = other;
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -27,6 +27,9 @@
  * time: its server and this VM's memory are held meanwhile. Servers cut off a
  * response that is not read for some seconds. */
 #define UNREAD_TIMEOUT_NS (5 * NS_PER_S)
+/* The same for a complete response, which holds no server: longer than callers
+ * wait, 20 s at most. */
+#define UNREAD_DONE_TIMEOUT_NS (30 * NS_PER_S)
 /* Added to the idle timeout, so that a connection is not closed just as the
  * caller reuses it. */
 #define IDLE_MARGIN_NS NS_PER_S
@@ -183,8 +186,10 @@
 	c->response_done = true;
 	c->req = HND_NONE;
 	c->state_since_ns = e->ev.now_ns;
-	if (c->held)
+	if (c->held) {
+		cmem_update(e, h);
 		return;
+	}
 	serve_next(e, c, h);
 	/* A further request may have arrived with the last one; a paused body
 	 * is read on. */
@@ -632,7 +637,8 @@
 	c->events = EPOLLIN | EPOLLRDHUP;
 	strbuf_init(&c->in);
 	strbuf_init(&c->out);
-	cmem_open(e, c, h, fd);
+	if (listener == EDGE_LISTENER_CALLERS)
+		cmem_open(e, c, h, fd);
 	if (ev_add(&e->ev, fd, EV_CALLER_CONN, h, c->events))
 		close_connection(e, c, "epoll registration failed");
 }
@@ -657,7 +663,8 @@
 	if (!c->taken_ns || taken != c->taken_bytes)
 		c->taken_ns = e->ev.now_ns;
 	c->taken_bytes = taken;
-	return e->ev.now_ns - c->taken_ns > UNREAD_TIMEOUT_NS;
+	return e->ev.now_ns - c->taken_ns >
+	       (c->response_done ? UNREAD_DONE_TIMEOUT_NS : UNREAD_TIMEOUT_NS);
 }
 
 static void cut_unread(struct edge *e, struct cconn_row *c)
--- a/src/edge/edge_caller_pipeline.c
+++ b/src/edge/edge_caller_pipeline.c
@@ -65,6 +65,7 @@
 		return true;
 	((struct cconn_row *)tab_get(&e->caller_conns, h))->req = req;
 	req_body_received(e, req, STR_NONE, true);
+	cmem_update(e, h);
 	return true;
 }
 
@@ -73,6 +74,12 @@
 {
 	struct cconn_row *held = tab_get(&e->caller_conns, c->next);
 
+	/* A response that closes the connection is its last: the requests
+	 * behind it count as not read. */
+	if (held && c->closing) {
+		cpipe_cancel(e, c, "behind a response that closes");
+		return CPIPE_NONE;
+	}
 	if (!held)
 		return CPIPE_NONE;
 	c->next = held->next;
--- a/src/edge/edge_config.h
+++ b/src/edge/edge_config.h
@@ -30,6 +30,11 @@
 /* Bytes of the hash that stands for a key. */
 #define CONF_KEY_HASH_BYTES 32
 
+/* Bounds of what a configuration may hold, which VMs check also in what they
+ * send to each other. */
+#define CONF_MAX_NAME_BYTES 1024
+#define CONF_MAX_TEAM_KEYS 1000
+
 /* A team, with its limit over all VMs together. */
 struct conf_team {
 	struct str name;
--- a/src/edge/edge_load_balancing.c
+++ b/src/edge/edge_load_balancing.c
@@ -214,10 +214,9 @@
 		if (s->state != SRV_READY || s->region != ch->e->region ||
 		    srv_is_paused(ch->e, s) || was_tried(ch->req, s->key) ||
 		    hlth_path_is_down(ch->e, s) ||
-		    !hlth_trial_due(ch->e, s, ch->req->kind, &known) ||
-		    (!s->ejected && load_permille(ch->e, s) >= 1000))
-			continue;
-		if (found && s->next_trial_ns >= found->next_trial_ns)
+		    (found && s->next_trial_ns >= found->next_trial_ns) ||
+		    (!s->ejected && load_permille(ch->e, s) >= 1000) ||
+		    !hlth_trial_due(ch->e, s, ch->req->kind, &known))
 			continue;
 		best = h;
 		found = s;
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -519,11 +519,12 @@
 	config.version = mpk_get_uint(&in, 0, UINT64_MAX);
 	if (sender == e->self || in.failed)
 		return;
-	sync_on_era(e, era);
 	vm_record_alive(e, sender, 0);
 	vm = vm_find(e, sender);
-	if (vm)
+	if (vm && config.era <= era) {
+		sync_on_era(e, era);
 		sync_on_peer_config(e, vm, config);
+	}
 	if (kind == EMSG_MEMBERS || kind == EMSG_MEMBERS_REQUEST)
 		emsg_on_members(e, &in, from, kind == EMSG_MEMBERS_REQUEST);
 	else if (kind == EMSG_NOTICE)
--- a/src/edge/edge_outlier_detection.c
+++ b/src/edge/edge_outlier_detection.c
@@ -325,7 +325,6 @@
 		.failures = s->trial_failures,
 		.used = s->last_accepted_ns != 0,
 		.since_accepted_ns = now - s->last_accepted_ns,
-		.rank = trial_rank(e, s),
 		.is_new = s->discovered_ns - e->start_ns > STARTUP_NS,
 		.since_discovered_ns = now - s->discovered_ns,
 	};
@@ -340,6 +339,10 @@
 	if (e->ev.now_ns < s->next_trial_ns)
 		return false;
 	t = make_trial_server(e, s);
+	/* A rank only delays a trial, and takes a walk over all VMs. */
+	if (!trial_is_due(&t, svc, kind))
+		return false;
+	t.rank = trial_rank(e, s);
 	return trial_is_due(&t, svc, kind);
 }
 
--- a/src/edge/memory_account.c
+++ b/src/edge/memory_account.c
@@ -233,7 +233,7 @@
 			tab_get(&m->addresses, h->address);
 		int rank = room_rank(h, now_ns);
 
-		if (!rank || a->holders < most)
+		if (!rank || h->usage.no_descriptor || a->holders < most)
 			continue;
 		if (a->holders == most &&
 		    (rank < best_rank ||
--- a/src/edge/memory_account.h
+++ b/src/edge/memory_account.h
@@ -53,6 +53,8 @@
 	uint64_t progress;
 	/* It cannot make progress, as this process does not read. */
 	bool paused;
+	/* It has no descriptor of its own. */
+	bool no_descriptor;
 };
 
 /* A connection. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -584,8 +584,14 @@
 	if (!r->quota_ns || r->sends ||
 	    e->ev.now_ns - r->quota_ns < QUOTA_RECOUNT_NS)
 		return true;
-	give_quota_back(e, r);
-	return take_quota(e, r);
+	if (quota_may_still_run(&e->quota, r->team, e->ev.now_ns)) {
+		r->quota_ns = e->ev.now_ns;
+		return true;
+	}
+	ctr_add(CTR_REFUSED_QUOTA, 1);
+	r->retry_after_ns = NS_PER_S;
+	req_refuse(e, r, 429, "beyond the quota");
+	return false;
 }
 
 static struct admit_request make_admit_request(struct edge *e,
--- a/src/edge/state_codec.c
+++ b/src/edge/state_codec.c
@@ -21,7 +21,6 @@
 #define MAX_SERVICES 20000
 #define MAX_DESTS 256
 #define MAX_TEAMS 100000
-#define MAX_TEAM_KEYS 1000
 #define MAX_NAME_BYTES 1024
 /* Upper bounds of encoded sizes, to size the buffer; the strings of routes and
  * services are added. */
@@ -186,7 +185,7 @@
 	t.priority = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 	t.rate_per_s = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
 	t.burst = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
-	n = mpk_get_array_len(in, MAX_TEAM_KEYS);
+	n = mpk_get_array_len(in, CONF_MAX_TEAM_KEYS);
 	if (!hreq_is_field_value(t.name))
 		in->failed = true;
 	if (in->failed)
@@ -322,7 +321,9 @@
 	else
 		mpk_put_nil(out);
 	mpk_put_uint(out, e->sync.era);
-	mpk_put_uint(out, e->sync.config_version);
+	/* A configuration that is held back is not sent: the receiver has to
+	 * read it if it becomes a reader. */
+	mpk_put_uint(out, e->held_conf ? 0 : e->sync.config_version);
 }
 
 void codec_write_config(const struct edge *e, struct era_version peer_config,
--- a/src/edge/team_quota.c
+++ b/src/edge/team_quota.c
@@ -17,6 +17,8 @@
 #define PAUSE_NS (1500 * NS_PER_MS)
 /* Mean time that a request of another VM is not yet known here. */
 #define UNKNOWN_AGE_S 0.4
+/* Time in which tokens that the reserve holds back are shared out. */
+#define RESERVE_PAYOUT_S 2.0
 /* Time without any report after which peers are taken to go on as before. */
 #define SILENT_NS (1500 * NS_PER_MS)
 /* Requests of a VM that pass by the bucket in a second whatever the VM's part
@@ -288,7 +290,10 @@
 		d.allowed = t->fill - reserve >= 1 &&
 			    draws_within_part(q, t, now_ns);
 		/* By shares of the rate, fewer to pay back a debt. */
-		d.share = d.demand_per_s > 0 ? rate / d.demand_per_s : 1;
+		d.share = 1;
+		if (d.demand_per_s > 0)
+			d.share = (rate + fmax(0, t->fill) / RESERVE_PAYOUT_S) /
+				  d.demand_per_s;
 		if (t->fill < 0)
 			d.share *= fmax(0, 1 + t->fill / max_debt(q, t));
 		if (!d.allowed) {
@@ -314,9 +319,22 @@
 	t->own.run--;
 	t->region.run--;
 	t->fill++;
+	t->second_used = fmax(0, t->second_used - 1);
+	/* The next request gets the share that this one had. */
+	t->credit = fmin(1, t->credit + 1);
 	cap_fill(q, t, now_ns);
 }
 
+bool quota_may_still_run(struct quota *q, uint64_t team, int64_t now_ns)
+{
+	struct quota_team *t = find_team(q, quota_short_key(team));
+
+	if (!t || t->rate_per_s <= 0)
+		return true;
+	advance(q, t, now_ns);
+	return t->fill >= 0;
+}
+
 void quota_tick(struct quota *q, const struct quota_members *m, int64_t now_ns)
 {
 	uint32_t i;
--- a/src/edge/team_quota.h
+++ b/src/edge/team_quota.h
@@ -132,6 +132,9 @@
  * team without a limit is always allowed. */
 struct quota_decision quota_take(struct quota *q, uint64_t team,
 				 int64_t now_ns);
+/* False for a request that was allowed a while ago, if the fleet has used more
+ * than its bucket since then. */
+bool quota_may_still_run(struct quota *q, uint64_t team, int64_t now_ns);
 /* Takes back the count of a request that no server has run. */
 void quota_give_back(struct quota *q, uint64_t team, int64_t now_ns);
 /* Is called every QUOTA_TICK_NS. */
