--- a/tests/test_edge_pipelines.c
+++ b/tests/test_edge_pipelines.c
@@ -391,6 +391,42 @@
 	}
 }
 
+/* Guards against responses behind one that closes the connection: their
+ * requests count as not read, and the caller sends them again. */
+static void test_given_up(void **state)
+{
+	static const struct {
+		const char *name;
+		/* Row of the request whose connection is to be closed. */
+		uint32_t row;
+		const char *got;
+	} cases[] = {
+		{"first", 0, "a200^ "},
+		{"second", 1, "a200 b200^ "},
+	};
+	size_t i;
+	char id;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		begin_case();
+		add_requests("sss");
+		settle();
+		check_ran(cases[i].name, "abc");
+		((struct cconn_row *)tab_at(&e.caller_conns, cases[i].row))
+			->closing = true;
+		for (id = 'c'; id >= 'a'; id--) {
+			if (find_conn(id))
+				respond(id, SMALL_BYTES, 0);
+			settle();
+		}
+		check_got(cases[i].name, cases[i].got);
+		assert_int_not_equal(caller_end, EAGAIN);
+		assert_int_equal(e.requests.len, 0);
+		end_case();
+	}
+}
+
 /* Guards against servers that work on for a caller that has left. */
 static void test_caller_leaves(void **state)
 {
@@ -580,6 +616,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_order),
+		cmocka_unit_test(test_given_up),
 		cmocka_unit_test(test_caller_leaves),
 		cmocka_unit_test(test_unread),
 		cmocka_unit_test(test_stalled_caller),
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -51,9 +51,12 @@
 static void offer(struct edge *e, uint64_t era, uint64_t version)
 {
 	struct conf *c = conf_new();
+	struct conf_team team = {.name = STR("t"),
+				 .rate_per_s = (uint32_t)version};
 
 	c->era = era;
 	c->version = version;
+	conf_add_team(c, &team);
 	edge_set_conf(e, c);
 }
 
@@ -102,6 +105,11 @@
 			edge_end_hold(&e);
 		}
 		end = edge_conf_in_force(&e);
+		/* A configuration that was held back came in force without its
+		 * quotas. */
+		if (((struct quota_team *)tab_at(&e.quota.teams, 0))
+			    ->rate_per_s != (double)end.version)
+			fail_msg("%s: quota of another version", cases[i].name);
 		if (end.era != (uint64_t)(cases[i].expected[0] - '0') ||
 		    end.version != (uint64_t)(cases[i].expected[1] - '0'))
 			fail_msg("%s: era %d, version %d", cases[i].name,
