--- a/src/edge/edge_retry_budget.c
+++ b/src/edge/edge_retry_budget.c
@@ -20,10 +20,6 @@
 /* Part of the shared limit that is kept in reserve, as each peer may have sent
  * a retry since its last report. */
 #define RESERVE_PERMILLE 80
-/* Part of the ratio of retries to requests that VMs use for their own requests
- * until they know the retries before their start; the others keep it in
- * reserve. */
-#define UNKNOWN_PERMILLE 150
 /* Part of the limit up to which trials may cost retries. */
 #define TRIAL_PERMILLE 600
 
@@ -258,18 +254,6 @@
 	return since_own > at_rate ? since_own : at_rate;
 }
 
-/* The same for a VM that does not know the retries before its start: they may
- * have used up all but the reserve. */
-static bool is_within_unknown_limit(const struct edge *e,
-				    const struct svc_row *svc, int64_t permille)
-{
-	struct bud_count own = own_counts(svc);
-	int64_t allowed = e->settings.retry_permille * own.requests *
-			  UNKNOWN_PERMILLE / 1000;
-
-	return (own.retries + 1) * INT64_C(1000) <= allowed * permille / 1000;
-}
-
 /* True when one more retry stays within that part of the limit. */
 static bool is_within_limit(struct edge *e, struct svc_row *svc,
 			    int64_t permille)
@@ -277,14 +261,13 @@
 	int64_t allowed, used;
 	struct window w;
 
-	advance_window(e, svc);
 	if (!knows_window(e))
-		return is_within_unknown_limit(e, svc, permille);
+		return false;
+	advance_window(e, svc);
 	w = region_counts(e, svc);
 	/* All VMs of the last minute: a VM that is cut off from the others
 	 * keeps to its part. */
-	allowed = e->settings.retry_permille * w.requests *
-			  (1000 - UNKNOWN_PERMILLE) / 1000 +
+	allowed = e->settings.retry_permille * w.requests +
 		  1000 * e->settings.retry_slack * w.vms / e->vms.len;
 	if (w.vms > 1)
 		allowed -= allowed * RESERVE_PERMILLE / 1000;
--- a/src/edge/edge_retry_budget.h
+++ b/src/edge/edge_retry_budget.h
@@ -12,9 +12,9 @@
  * fixed number.
  *
  * Retries count for a whole window, also those of VMs that end or fall silent:
- * their peers keep the counts and report them. A VM that starts makes few
- * retries until it has these counts or has run for a window, unless the whole
- * fleet starts for the first time.
+ * their peers keep the counts and report them. A VM that starts makes no retry
+ * until it has these counts or has run for a window, unless the whole fleet
+ * starts for the first time.
  */
 
 /* Counts a request. */
