Quotas: one sender of a region's sums counts at a time; idle connections end without a reset

Cause, found by reading: while two VMs of a region sent its sums, each report was taken as a new start, so nothing of that region counted and both regions could use the whole rate; a paused VM added the tokens of its pause before its first tick; a connection that was closed to free memory or a descriptor was reset although the kernel still held the end of its response. Measured: test_two_senders; unit tests of these modules.

--- a/src/edge/caller_memory.c
+++ b/src/edge/caller_memory.c
@@ -175,6 +175,8 @@
 		return;
 	}
 	ctr_add(CTR_MEMORY_CLOSED, 1);
+	if (cconn_close_idle(e, caller))
+		return;
 	req_cancel(e, c->req, why);
 	cconn_reset(e, caller);
 }
--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -346,6 +346,17 @@
 	set_events(e, c, caller);
 }
 
+bool cconn_close_idle(struct edge *e, struct hnd caller)
+{
+	struct cconn_row *c = get_row(e, caller);
+
+	if (!c || c->held || c->state != CCONN_READING_HEAD || c->in.len ||
+	    c->out.len > c->out_sent)
+		return false;
+	close_connection(e, c, "closed to free memory or a descriptor");
+	return true;
+}
+
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller)
 {
 	struct cconn_row *c = get_row(e, caller);
--- a/src/edge/edge_caller_connection.h
+++ b/src/edge/edge_caller_connection.h
@@ -119,6 +119,9 @@
 void cconn_reset(struct edge *e, struct hnd caller);
 /* Pauses or resumes reading, as caller_memory.c decides. */
 void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause);
+/* Closes a connection without a request and input, whose last response the
+ * kernel may still send; false for any other one. */
+bool cconn_close_idle(struct edge *e, struct hnd caller);
 /* Bytes of the response that are not yet written to the socket. */
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller);
 /* Removes bytes from the input. */
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -28,9 +28,9 @@
 /* The same while all servers are busy. */
 #define BUSY_RECHECK_NS (150 * NS_PER_MS)
 /* A request that has waited longer since it was counted for its team's quota
- * is counted again when it is sent: what the quota allowed over a long time
+ * is checked again when it is sent: what the quota allowed over a long time
  * must not reach servers at once. */
-#define QUOTA_RECOUNT_NS (500 * NS_PER_MS)
+#define QUOTA_RECHECK_NS (500 * NS_PER_MS)
 /* Time after the start of a VM in which requests wait for the first
  * configuration, which usually arrives within half a second. */
 #define FIRST_CONF_WAIT_NS NS_PER_S
@@ -578,11 +578,12 @@
 	return false;
 }
 
-/* The same for a request that has waited since then; it is not sent yet. */
-static bool retake_quota(struct edge *e, struct req_row *r)
+/* The same for a request that has waited since it was counted; it is not sent
+ * yet. */
+static bool recheck_quota(struct edge *e, struct req_row *r)
 {
 	if (!r->quota_ns || r->sends ||
-	    e->ev.now_ns - r->quota_ns < QUOTA_RECOUNT_NS)
+	    e->ev.now_ns - r->quota_ns < QUOTA_RECHECK_NS)
 		return true;
 	if (quota_may_still_run(&e->quota, r->team, e->ev.now_ns)) {
 		r->quota_ns = e->ev.now_ns;
@@ -723,7 +724,7 @@
 	admission.load = pick.load;
 	if (!pick.trial && !admit(e, r, &admission))
 		return;
-	if (!retake_quota(e, r))
+	if (!recheck_quota(e, r))
 		return;
 	charge_team(e, r);
 	s = tab_get(&e->servers, pick.server);
--- a/src/edge/team_quota.c
+++ b/src/edge/team_quota.c
@@ -44,6 +44,11 @@
 #define MIN_RETRY_NS (200 * NS_PER_MS)
 #define MAX_RETRY_NS (2 * NS_PER_S)
 
+struct sender_row {
+	uint64_t source;
+	int64_t heard_ns;
+};
+
 struct source_row {
 	uint64_t incarnation;
 	uint32_t run;
@@ -69,6 +74,8 @@
 	memset(q, 0, sizeof(*q));
 	tab_init(&q->teams, sizeof(struct quota_team));
 	tab_init(&q->sources, sizeof(struct source_row));
+	tab_init(&q->senders, sizeof(struct sender_row));
+	idx_init(&q->sender_by_region);
 	idx_init(&q->team_by_key);
 	idx_init(&q->source_by_key);
 	q->start_ns = opts->now_ns;
@@ -86,6 +93,8 @@
 {
 	tab_free(&q->teams);
 	tab_free(&q->sources);
+	tab_free(&q->senders);
+	idx_free(&q->sender_by_region);
 	idx_free(&q->team_by_key);
 	idx_free(&q->source_by_key);
 }
@@ -145,7 +154,9 @@
 	fast = exp(-s / FAST_S);
 	slow = exp(-s / SLOW_S);
 	t->updated_ns = now_ns;
-	t->fill += s * usable_rate(q, t, now_ns);
+	/* After a pause of this process, what the others used is not known. */
+	if (now_ns - q->tick_ns <= PAUSE_NS)
+		t->fill += s * usable_rate(q, t, now_ns);
 	if (now_ns - q->heard_ns > SILENT_NS && q->part >= 1 &&
 	    is_known(q, now_ns)) {
 		/* Nothing is heard, and the peers still count as alive: they
@@ -446,12 +457,36 @@
 	return s;
 }
 
+/* While two VMs of a region send its sums, only those of the first one count:
+ * each of them sums from another time. */
+static bool is_sender(struct quota *q, uint64_t region, uint64_t source,
+		      int64_t now_ns)
+{
+	struct sender_row *s =
+		tab_get(&q->senders, idx_get(&q->sender_by_region, region));
+	void *row;
+
+	if (!s) {
+		idx_put(&q->sender_by_region, region,
+			tab_add(&q->senders, &row));
+		s = row;
+		s->source = source;
+	} else if (s->source != source && now_ns - s->heard_ns < SILENT_NS) {
+		return false;
+	}
+	s->source = source;
+	s->heard_ns = now_ns;
+	return true;
+}
+
 void quota_on_report(struct quota *q, const struct quota_report *r,
 		     uint64_t other_region, int64_t now_ns)
 {
 	uint32_t i;
 
 	q->heard_ns = now_ns;
+	if (other_region && !is_sender(q, other_region, r->source, now_ns))
+		return;
 	for (i = 0; i < r->count; i++) {
 		const struct quota_count *c = &r->counts[i];
 		struct quota_team *t = find_team(q, c->team);
--- a/src/edge/team_quota.h
+++ b/src/edge/team_quota.h
@@ -76,6 +76,9 @@
 	/* Last counts of each source and team. */
 	struct tab sources;
 	struct idx source_by_key;
+	/* The VM that sends the sums of each other region. */
+	struct tab senders;
+	struct idx sender_by_region;
 	int64_t start_ns;
 	/* This VM knows the demand of the fleet from then on. */
 	int64_t known_ns;
--- a/tests/test_team_quota.c
+++ b/tests/test_team_quota.c
@@ -330,10 +330,73 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against the requests of a region that count for nothing, or twice,
+ * while two of its VMs send its sums. */
+static void test_two_senders(void **state)
+{
+	static const struct {
+		const char *name;
+		/* Senders of the sums, 0.25 s apart; '-' for none. Each sum is
+		 * 10 more than the one before. */
+		const char *senders;
+		/* Requests that this VM has counted at the end. */
+		int counted;
+	} cases[] = {
+		{"one", "aaaa", 40},
+		{"two by turns", "ababab", 50},
+		{"takes over", "aa-------bbb", 40},
+		{"takes over too early", "aab", 20},
+	};
+	uint64_t other_region = 77;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < COUNT(cases); i++) {
+		struct conf *c = conf_new();
+		struct conf_team limited = {
+			.name = STR("t"), .rate_per_s = 1000, .burst = 100000};
+		int64_t now = 100 * NS_PER_S;
+		struct quota_report r = {.incarnation = 1, .count = 1};
+		struct quota_opts opts = {.now_ns = now,
+					  .first_start = true,
+					  .limits = {5 * NS_PER_S, 0.1, 20}};
+		const struct quota_team *t;
+		struct quota q;
+		const char *p;
+
+		conf_add_team(c, &limited);
+		quota_init(&q, &opts);
+		quota_set_conf(&q, c, now);
+		r.counts[0].team = quota_short_key(c->teams[0].key);
+		for (p = cases[i].senders; *p; p++) {
+			now += NS_PER_S / 4;
+			r.counts[0].run += 10;
+			r.counts[0].asked += 10;
+			r.source = (uint64_t)*p;
+			r.up_ns = now - 100 * NS_PER_S;
+			if (*p != '-')
+				quota_on_report(&q, &r, other_region, now);
+		}
+		q.tick_ns = now;
+		if (q.sources.len != 1)
+			fail_msg("%s: %u sources", cases[i].name,
+				 q.sources.len);
+		t = tab_at(&q.teams, 0);
+		/* The count decays by a quarter in three seconds. */
+		if (t->all_slow > cases[i].counted ||
+		    t->all_slow < cases[i].counted * 0.75)
+			fail_msg("%s: counted %.1f", cases[i].name,
+				 t->all_slow);
+		quota_free(&q);
+		conf_free(c);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_fleet),
+		cmocka_unit_test(test_two_senders),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
