Tests: the crowd of pipelines is a script of its own, and known red

Cause: after the merge of memory limits, pipelines and the ordered queue, 300 callers that pipeline 800 requests each take 57 MB, above the bound of 40 MB and below the VM's limit of 64 MB. Two fixes were tried and did not mend it. Change: the case runs by it_hostile_pipelines.sh, so that KNOWN-RED.txt covers it and not the ten other cases. Crowd, bounds and checks are as they were.

--- a/scripts/it_hostile_callers.sh
+++ b/scripts/it_hostile_callers.sh
@@ -5,6 +5,9 @@
 #
 #   it_hostile_callers.sh [KIND...]
 #
+# Without arguments it runs all kinds but "pipelined", which
+# it_hostile_pipelines.sh runs.
+#
 # One case after the other, each with processes of its own. Each checks, while
 # the crowd stays connected: the process lives; its peak of resident memory and
 # its open descriptors are below a bound; an ordinary request gets 200; SIGTERM
@@ -141,6 +144,7 @@
 	if [ $# -gt 0 ] && [[ " $* " != *" $kind "* ]]; then
 		continue
 	fi
+	[ $# = 0 ] && [ "$kind" = pipelined ] && continue
 	(run_case "$kind" "$callers" $case_port </dev/null) || any_failed=1
 done <<<"$cases"
 exit $any_failed
