Edge: requests, callers' connections and messages split by concern

Change: moves only. request_team (teams and quotas), request_body (what is sent to the server), edge_caller_response, edge_caller_timeout, edge_messages_quota; what they share is declared in the internal headers.

--- a/src/edge/edge_caller_connection.c
+++ b/src/edge/edge_caller_connection.c
@@ -1,4 +1,4 @@
-#include "edge_caller_connection.h"
+#include "edge_caller_connection_internal.h"
 
 #include <errno.h>
 #include <linux/sockios.h>
@@ -23,25 +23,9 @@
 /* No further request of a connection is started while its caller has left this
  * many bytes of responses unread. */
 #define MAX_UNREAD_BYTES 65536
-/* A connection is reset whose caller has taken nothing of a response for this
- * time: its server and this VM's memory are held meanwhile. Servers cut off a
- * response that is not read for some seconds. */
-#define UNREAD_TIMEOUT_NS (5 * NS_PER_S)
-/* The same for a complete response, which holds no server: longer than callers
- * wait, 20 s at most. */
-#define UNREAD_DONE_TIMEOUT_NS (30 * NS_PER_S)
-/* Added to the idle timeout, so that a connection is not closed just as the
- * caller reuses it. */
-#define IDLE_MARGIN_NS NS_PER_S
-/* Time that a caller has to read the rest of a response before its connection
- * is closed. */
-#define LINGER_NS (5 * NS_PER_S)
-/* Limits until the first configuration sets them. */
-#define DEFAULT_IDLE_TIMEOUT_NS (15 * NS_PER_S)
-#define DEFAULT_HEAD_TIMEOUT_NS (3 * NS_PER_S)
 
 /* NULL if the connection is closed. */
-static struct cconn_row *get_row(struct edge *e, struct hnd h)
+struct cconn_row *cconn_get(struct edge *e, struct hnd h)
 {
 	struct cconn_row *c = tab_get(&e->caller_conns, h);
 
@@ -49,7 +33,7 @@
 }
 
 /* Makes close() reset the connection. */
-static void set_reset_on_close(const struct cconn_row *c)
+void cconn_set_reset_on_close(const struct cconn_row *c)
 {
 	struct linger now = {1, 0};
 
@@ -58,8 +42,7 @@
 
 /* Keeps the row, which later events of this batch may refer to; cconn_sweep()
  * removes it. */
-static void close_connection(struct edge *e, struct cconn_row *c,
-			     const char *why)
+void cconn_close(struct edge *e, struct cconn_row *c, const char *why)
 {
 	struct hnd req = c->req;
 
@@ -72,7 +55,7 @@
 	/* After a FIN, the response would look complete. */
 	if (c->ends_with_close &&
 	    (!c->response_done || c->out.len > c->out_sent))
-		set_reset_on_close(c);
+		cconn_set_reset_on_close(c);
 	if (!c->held)
 		close(c->fd);
 	c->fd = -1;
@@ -136,10 +119,10 @@
 	if (c->discarding || (reading && c->ends_with_close))
 		shutdown(c->fd, SHUT_WR);
 	else if (!reading)
-		close_connection(e, c, "response sent");
+		cconn_close(e, c, "response sent");
 }
 
-static void send_pending(struct edge *e, struct cconn_row *c, struct hnd h)
+void cconn_send_pending(struct edge *e, struct cconn_row *c, struct hnd h)
 {
 	if (c->held)
 		return;
@@ -153,7 +136,7 @@
 		if (n < 0 && errno == EAGAIN)
 			break;
 		if (n < 0) {
-			close_connection(e, c, "caller connection failed");
+			cconn_close(e, c, "caller connection failed");
 			return;
 		}
 		c->out_sent += (size_t)n;
@@ -179,7 +162,7 @@
 }
 
 /* The response is complete: the next request may be parsed. */
-static void finish_response(struct edge *e, struct cconn_row *c, struct hnd h)
+void cconn_finish_response(struct edge *e, struct cconn_row *c, struct hnd h)
 {
 	struct hnd next;
 
@@ -196,131 +179,14 @@
 	c->input_pending = c->in.len > 0 || c->body_paused;
 	e->caller_input_pending |= c->input_pending;
 	next = c->req;
-	send_pending(e, c, h);
+	cconn_send_pending(e, c, h);
 	if (!c->closed && !hnd_eq(next, HND_NONE))
 		req_caller_writable(e, next);
 }
 
-static void add_connection_field(struct edge *e, struct cconn_row *c)
-{
-	/* While the VM stops, what was started is still answered. */
-	if ((e->leaving && hnd_eq(c->next, HND_NONE)) || !c->keep_alive)
-		c->closing = true;
-	if (c->closing)
-		strbuf_add(&c->out, STR("Connection: close\r\n"));
-}
-
-static const char *reason_phrase(int status)
-{
-	static const struct {
-		int status;
-		const char *phrase;
-	} reason_phrases[] = {
-		{200, "OK"},
-		{400, "Bad Request"},
-		{401, "Unauthorized"},
-		{404, "Not Found"},
-		{408, "Request Timeout"},
-		{413, "Payload Too Large"},
-		{429, "Too Many Requests"},
-		{431, "Request Header Fields Too Large"},
-		{502, "Bad Gateway"},
-		{503, "Service Unavailable"},
-		{504, "Gateway Timeout"},
-	};
-	size_t i;
-
-	for (i = 0; i < sizeof(reason_phrases) / sizeof(reason_phrases[0]); i++)
-		if (reason_phrases[i].status == status)
-			return reason_phrases[i].phrase;
-	return "Status";
-}
-
-static void send_response(struct edge *e, struct cconn_row *c, struct hnd h,
-			  int status, const char *type, struct str body,
-			  int64_t retry_after_ns)
-{
-	strbuf_addf(&c->out, "HTTP/1.1 %d %s\r\n", status,
-		    reason_phrase(status));
-	if (body.len)
-		strbuf_addf(&c->out, "Content-Type: %s\r\n", type);
-	if (status == 401)
-		strbuf_add(&c->out, STR("WWW-Authenticate: Bearer\r\n"));
-	if (retry_after_ns)
-		strbuf_addf(&c->out, "Retry-After: %.3f\r\n",
-			    (double)retry_after_ns / (double)NS_PER_S);
-	add_connection_field(e, c);
-	strbuf_addf(&c->out, "Content-Length: %zu\r\n\r\n", body.len);
-	strbuf_add(&c->out, body);
-	finish_response(e, c, h);
-}
-
-void cconn_respond(struct edge *e, struct hnd caller, int status,
-		   const char *reason, int64_t retry_after_ns)
-{
-	struct cconn_row *c = get_row(e, caller);
-	struct strbuf body;
-
-	if (!c)
-		return;
-	strbuf_init(&body);
-	strbuf_addf(&body, "{\"reason\":\"%s\"}", reason);
-	send_response(e, c, caller, status, "application/json",
-		      strbuf_view(&body), retry_after_ns);
-	strbuf_free(&body);
-}
-
-void cconn_begin_response(struct edge *e, struct hnd caller, int status,
-			  struct str phrase, struct str fields, int64_t length)
-{
-	struct cconn_row *c = get_row(e, caller);
-
-	if (!c)
-		return;
-	c->response_begun = true;
-	strbuf_addf(&c->out, "HTTP/1.1 %d %.*s\r\n", status, STR_FMT(phrase));
-	strbuf_add(&c->out, fields);
-	add_connection_field(e, c);
-	c->chunked_response = length == CCONN_CHUNKED && !c->http_1_0;
-	c->ends_with_close = length == CCONN_CHUNKED && c->http_1_0;
-	if (c->chunked_response)
-		strbuf_add(&c->out, STR("Transfer-Encoding: chunked\r\n\r\n"));
-	else if (status == 204 || status == 304 || length < 0)
-		strbuf_add(&c->out, STR("\r\n"));
-	else
-		strbuf_addf(&c->out, "Content-Length: %lld\r\n\r\n",
-			    (long long)length);
-}
-
-void cconn_send_body(struct edge *e, struct hnd caller, struct str data)
-{
-	struct cconn_row *c = get_row(e, caller);
-
-	if (!c || !data.len)
-		return;
-	if (c->chunked_response)
-		strbuf_addf(&c->out, "%zx\r\n", data.len);
-	strbuf_add(&c->out, data);
-	if (c->chunked_response)
-		strbuf_add(&c->out, STR("\r\n"));
-	send_pending(e, c, caller);
-}
-
-void cconn_end_response(struct edge *e, struct hnd caller)
-{
-	struct cconn_row *c = get_row(e, caller);
-
-	if (!c)
-		return;
-	if (c->chunked_response)
-		strbuf_add(&c->out, STR("0\r\n\r\n"));
-	c->chunked_response = false;
-	finish_response(e, c, caller);
-}
-
 void cconn_reset(struct edge *e, struct hnd caller)
 {
-	struct cconn_row *c = get_row(e, caller);
+	struct cconn_row *c = cconn_get(e, caller);
 
 	if (!c)
 		return;
@@ -332,13 +198,13 @@
 		cconn_respond(e, caller, 502, "response truncated", 0);
 		return;
 	}
-	set_reset_on_close(c);
-	close_connection(e, c, "response truncated");
+	cconn_set_reset_on_close(c);
+	cconn_close(e, c, "response truncated");
 }
 
 void cconn_pause_for_memory(struct edge *e, struct hnd caller, bool pause)
 {
-	struct cconn_row *c = get_row(e, caller);
+	struct cconn_row *c = cconn_get(e, caller);
 
 	if (!c)
 		return;
@@ -348,18 +214,18 @@
 
 bool cconn_close_idle(struct edge *e, struct hnd caller)
 {
-	struct cconn_row *c = get_row(e, caller);
+	struct cconn_row *c = cconn_get(e, caller);
 
 	if (!c || c->held || c->state != CCONN_READING_HEAD || c->in.len ||
 	    c->out.len > c->out_sent)
 		return false;
-	close_connection(e, c, "closed to free memory or a descriptor");
+	cconn_close(e, c, "closed to free memory or a descriptor");
 	return true;
 }
 
 size_t cconn_unsent_bytes(struct edge *e, struct hnd caller)
 {
-	struct cconn_row *c = get_row(e, caller);
+	struct cconn_row *c = cconn_get(e, caller);
 
 	return c ? c->out.len - c->out_sent : 0;
 }
@@ -380,8 +246,8 @@
 
 /* Rejects a request and ends its connection. A request has one response: one
  * that is complete stays the last, and one that has begun is cut off. */
-static void reject_and_close(struct edge *e, struct cconn_row *c, struct hnd h,
-			     int status, const char *reason)
+void cconn_reject_and_close(struct edge *e, struct cconn_row *c, struct hnd h,
+			    int status, const char *reason)
 {
 	bool responded = c->state == CCONN_READING_BODY && c->response_done;
 
@@ -400,7 +266,7 @@
 	discard_input(e, c);
 	c->state = responded ? CCONN_READING_HEAD : CCONN_RESPONDING;
 	if (responded)
-		send_pending(e, c, h);
+		cconn_send_pending(e, c, h);
 	else
 		cconn_respond(e, h, status, reason, 0);
 }
@@ -416,8 +282,8 @@
 		ctl_handle_request(e, head, &resp);
 	else
 		e->ops.handle_request(e->ops.ctx, c->listener, head, &resp);
-	send_response(e, c, h, resp.status, resp.content_type,
-		      strbuf_view(&resp.body), 0);
+	cconn_send_response(e, c, h, resp.status, resp.content_type,
+			    strbuf_view(&resp.body), 0);
 	strbuf_free(&resp.body);
 }
 
@@ -437,20 +303,20 @@
 
 	if (!len && c->in.len <= cconn_max_head_bytes(e)) {
 		if (!hreq_may_be_request(strbuf_view(&c->in)))
-			reject_and_close(e, c, h, 400, "not HTTP");
+			cconn_reject_and_close(e, c, h, 400, "not HTTP");
 		return false;
 	}
 	if (!len || len > cconn_max_head_bytes(e)) {
-		reject_and_close(e, c, h, 431, "head too large");
+		cconn_reject_and_close(e, c, h, 431, "head too large");
 		return false;
 	}
 	fault = hreq_parse(&head, (struct str){c->in.ptr, len});
 	if (fault) {
-		reject_and_close(e, c, h, 400, fault);
+		cconn_reject_and_close(e, c, h, 400, fault);
 		return false;
 	}
 	if (e->conf && head.length > e->conf->limits.max_body_bytes) {
-		reject_and_close(e, c, h, 413, "body too large");
+		cconn_reject_and_close(e, c, h, 413, "body too large");
 		return false;
 	}
 	if (head.expect_continue)
@@ -486,7 +352,7 @@
 	c->req = HND_NONE;
 	if (!c->response_done)
 		req_cancel(e, req, reason);
-	reject_and_close(e, c, h, status, reason);
+	cconn_reject_and_close(e, c, h, status, reason);
 }
 
 /* True when the body is complete. */
@@ -529,7 +395,7 @@
 
 static void process_input(struct edge *e, struct hnd h)
 {
-	struct cconn_row *c = get_row(e, h);
+	struct cconn_row *c = cconn_get(e, h);
 	bool more = true, unread;
 
 	if (c->discarding)
@@ -545,12 +411,12 @@
 			more = c->in.len && !is_unread(c) && cpipe_begin(e, h);
 		}
 		/* A pipelined request adds a row, and rows move. */
-		c = get_row(e, h);
+		c = cconn_get(e, h);
 	}
 	if (!c)
 		return;
 	unread = is_unread(c);
-	send_pending(e, c, h);
+	cconn_send_pending(e, c, h);
 	/* What waited for the caller to read can start now. */
 	if (unread && !c->closed && !is_unread(c)) {
 		c->input_pending = true;
@@ -605,25 +471,25 @@
 static void on_socket_event(void *ctx, struct hnd h, uint32_t events)
 {
 	struct edge *e = ctx;
-	struct cconn_row *c = get_row(e, h);
+	struct cconn_row *c = cconn_get(e, h);
 
 	if (!c)
 		return;
 	if (events & (EPOLLERR | EPOLLHUP)) {
-		close_connection(e, c, "caller connection failed");
+		cconn_close(e, c, "caller connection failed");
 		return;
 	}
 	/* A half-closed connection counts as closed by the caller, who may have
 	 * left while this process was paused: a request that still waits to be
 	 * read must not start. */
 	if ((events & EPOLLRDHUP) || ((events & EPOLLIN) && !receive(e, c))) {
-		close_connection(e, c, "caller closed its connection");
+		cconn_close(e, c, "caller closed its connection");
 		return;
 	}
 	if (events & EPOLLOUT) {
 		struct hnd req = c->req;
 
-		send_pending(e, c, h);
+		cconn_send_pending(e, c, h);
 		if (!c->closed && !hnd_eq(req, HND_NONE))
 			req_caller_writable(e, req);
 	}
@@ -651,7 +517,7 @@
 	if (listener == EDGE_LISTENER_CALLERS)
 		cmem_open(e, c, h, fd);
 	if (ev_add(&e->ev, fd, EV_CALLER_CONN, h, c->events))
-		close_connection(e, c, "epoll registration failed");
+		cconn_close(e, c, "epoll registration failed");
 }
 
 void cconn_start(struct edge *e)
@@ -659,75 +525,6 @@
 	ev_set_handler(&e->ev, EV_CALLER_CONN, on_socket_event, e);
 }
 
-/* True if the caller has taken nothing of a response for too long. */
-static bool is_stalled(const struct edge *e, struct cconn_row *c)
-{
-	uint64_t taken = c->sent_bytes;
-	int queued = 0;
-
-	if (c->out.len == c->out_sent) {
-		c->taken_ns = 0;
-		return false;
-	}
-	if (!ioctl(c->fd, SIOCOUTQ, &queued))
-		taken -= (uint64_t)queued;
-	if (!c->taken_ns || taken != c->taken_bytes)
-		c->taken_ns = e->ev.now_ns;
-	c->taken_bytes = taken;
-	return e->ev.now_ns - c->taken_ns >
-	       (c->response_done ? UNREAD_DONE_TIMEOUT_NS : UNREAD_TIMEOUT_NS);
-}
-
-static void cut_unread(struct edge *e, struct cconn_row *c)
-{
-	ctr_add(CTR_TRUNCATED, 1);
-	logs_event(LOGS_INFO, "cut",
-		   (struct logs_field[]){
-			   LOGS_STR("why", STR("response not read")),
-			   LOGS_INT("bytes", c->out.len - c->out_sent),
-			   LOGS_INT("pipelined", c->held_count),
-		   },
-		   3);
-	set_reset_on_close(c);
-	close_connection(e, c, "response not read in time");
-}
-
-void cconn_expire(struct edge *e)
-{
-	int64_t now = e->ev.now_ns;
-	int64_t idle = (e->conf ? e->conf->limits.idle_timeout_ns
-				: DEFAULT_IDLE_TIMEOUT_NS) +
-		       IDLE_MARGIN_NS;
-	int64_t head = e->conf ? e->conf->limits.head_timeout_ns
-			       : DEFAULT_HEAD_TIMEOUT_NS;
-	uint32_t i;
-
-	for (i = 0; i < e->caller_conns.len; i++) {
-		struct cconn_row *c = tab_at(&e->caller_conns, i);
-		int64_t age = now - c->state_since_ns;
-
-		if (c->closed || c->held)
-			continue;
-		if (is_stalled(e, c))
-			cut_unread(e, c);
-		if (c->closed || !c->response_done || c->out.len > c->out_sent)
-			continue;
-		/* The caller was answered and does not send the rest of the
-		 * body. */
-		if (c->state == CCONN_READING_BODY && age > idle)
-			close_connection(e, c, "body not received in time");
-		if (c->closed || c->state != CCONN_READING_HEAD)
-			continue;
-		if (c->closing && age > LINGER_NS)
-			close_connection(e, c, "response not read in time");
-		else if (c->in.len && age > head && !c->closing)
-			reject_and_close(e, c, tab_handle(&e->caller_conns, i),
-					 408, "head not received in time");
-		else if (!c->in.len && age > idle)
-			close_connection(e, c, "idle");
-	}
-}
-
 void cconn_sweep(struct edge *e)
 {
 	uint32_t i = e->caller_conns.len;
@@ -748,7 +545,6 @@
 	size_t i;
 
 	for (i = 0; i < e->caller_conns.len; i++)
-		close_connection(e, tab_at(&e->caller_conns, (uint32_t)i),
-				 "stop");
+		cconn_close(e, tab_at(&e->caller_conns, (uint32_t)i), "stop");
 	cconn_sweep(e);
 }
--- a/src/edge/edge_messages.c
+++ b/src/edge/edge_messages.c
@@ -27,10 +27,6 @@
 #define READ_BATCH 64
 /* VMs of each other region that a summary or an ejection is sent to. */
 #define OTHER_REGION_TARGETS 2
-/* The same for counts of teams, whose next message makes up for a lost one. */
-#define QUOTA_REGION_TARGETS 1
-/* Fields per team in such a message. */
-#define QUOTA_COUNT_FIELDS 3
 #define GOSSIP_PERIOD_NS NS_PER_S
 /* Period while this VM knows no other. */
 #define ISOLATED_GOSSIP_PERIOD_NS (250 * NS_PER_MS)
@@ -97,9 +93,8 @@
 	return false;
 }
 
-/* Sends a message to a few random VMs of each other region. */
-static void send_to_other_regions(struct edge *e, const struct emsg_datagram *d,
-				  uint32_t targets)
+void emsg_send_to_other_regions(struct edge *e, const struct emsg_datagram *d,
+				uint32_t targets)
 {
 	uint64_t regions[ESET_MAX_ZONES];
 	uint32_t sent[ESET_MAX_ZONES], count = 0;
@@ -139,7 +134,7 @@
 	struct emsg_datagram d;
 
 	put_ejection(e, &d, s->key);
-	send_to_other_regions(e, &d, OTHER_REGION_TARGETS);
+	emsg_send_to_other_regions(e, &d, OTHER_REGION_TARGETS);
 }
 
 static void on_ejection(struct edge *e, struct mpk_reader *in, uint64_t sender)
@@ -172,7 +167,7 @@
 
 	put_leaving(e, &d, s);
 	emsg_send_to_peers(e, &d);
-	send_to_other_regions(e, &d, OTHER_REGION_TARGETS);
+	emsg_send_to_other_regions(e, &d, OTHER_REGION_TARGETS);
 }
 
 static void on_leaving(struct edge *e, struct mpk_reader *in, uint64_t sender)
@@ -200,7 +195,7 @@
 	emsg_send_to_peers(e, &d);
 }
 
-static void put_age(struct mpk_writer *out, int64_t age_ns)
+void emsg_put_age(struct mpk_writer *out, int64_t age_ns)
 {
 	int64_t age_ms = age_ns / NS_PER_MS;
 
@@ -211,12 +206,12 @@
 			     const struct avail_report *r)
 {
 	mpk_put_uint(out, r->since_age_ns >= 0);
-	put_age(out, r->since_age_ns < 0 ? 0 : r->since_age_ns);
-	put_age(out, r->served_age_ns);
+	emsg_put_age(out, r->since_age_ns < 0 ? 0 : r->since_age_ns);
+	emsg_put_age(out, r->served_age_ns);
 	mpk_put_uint(out, r->after_outage);
 }
 
-static int64_t get_age(struct mpk_reader *in)
+int64_t emsg_get_age(struct mpk_reader *in)
 {
 	return (int64_t)mpk_get_uint(in, 0, MAX_AGE_MS) * NS_PER_MS;
 }
@@ -225,10 +220,10 @@
 {
 	bool known = mpk_get_uint(in, 0, 1) > 0;
 
-	r->since_age_ns = get_age(in);
+	r->since_age_ns = emsg_get_age(in);
 	if (!known)
 		r->since_age_ns = -1;
-	r->served_age_ns = get_age(in);
+	r->served_age_ns = emsg_get_age(in);
 	r->after_outage = mpk_get_uint(in, 0, 1) > 0;
 }
 
@@ -392,7 +387,7 @@
 	struct emsg_datagram d;
 
 	put_summary(e, &d, s);
-	send_to_other_regions(e, &d, OTHER_REGION_TARGETS);
+	emsg_send_to_other_regions(e, &d, OTHER_REGION_TARGETS);
 }
 
 static void on_summary(struct edge *e, struct mpk_reader *in, uint64_t sender)
@@ -422,66 +417,6 @@
 	emsg_send_to_peers(e, &d);
 }
 
-static void put_quota(struct edge *e, struct emsg_datagram *d,
-		      enum emsg_kind kind, const struct quota_report *r)
-{
-	uint32_t i;
-
-	emsg_begin(e, d, kind, 4);
-	mpk_put_uint(&d->out, r->source);
-	mpk_put_uint(&d->out, r->incarnation);
-	mpk_put_int(&d->out, r->up_ns / NS_PER_MS);
-	mpk_put_array(&d->out, r->count * QUOTA_COUNT_FIELDS);
-	for (i = 0; i < r->count; i++) {
-		mpk_put_uint(&d->out, r->counts[i].team);
-		mpk_put_uint(&d->out, r->counts[i].run);
-		mpk_put_uint(&d->out, r->counts[i].asked);
-	}
-}
-
-void emsg_send_quota(struct edge *e, const struct quota_report *r, bool region)
-{
-	struct emsg_datagram d;
-
-	put_quota(e, &d, region ? EMSG_QUOTA_REGION : EMSG_QUOTA, r);
-	if (region)
-		send_to_other_regions(e, &d, QUOTA_REGION_TARGETS);
-	else
-		emsg_send_to_peers(e, &d);
-}
-
-/* The source of counts of a region is a VM of that region. */
-static void on_quota(struct edge *e, struct mpk_reader *in, uint64_t sender,
-		     bool region)
-{
-	const struct vm_row *from = vm_find(e, sender);
-	const struct vm_row *source;
-	struct quota_report r = {.count = 0};
-	struct emsg_datagram d;
-	uint32_t i;
-
-	r.source = mpk_get_uint(in, 1, UINT64_MAX);
-	r.incarnation = mpk_get_uint(in, 0, UINT64_MAX);
-	r.up_ns = get_age(in);
-	r.count = mpk_get_array_len(in, QUOTA_MAX_COUNTS * QUOTA_COUNT_FIELDS) /
-		  QUOTA_COUNT_FIELDS;
-	for (i = 0; i < r.count; i++) {
-		r.counts[i].team = (uint32_t)mpk_get_uint(in, 1, UINT32_MAX);
-		r.counts[i].run = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
-		r.counts[i].asked = (uint32_t)mpk_get_uint(in, 0, UINT32_MAX);
-	}
-	source = vm_find(e, r.source);
-	if (in->failed || !from || !source ||
-	    (source->region == e->region) == region)
-		return;
-	quota_on_report(&e->quota, &r, region ? source->region : 0,
-			e->ev.now_ns);
-	if (!region || from->region == e->region)
-		return;
-	put_quota(e, &d, EMSG_QUOTA_REGION, &r);
-	emsg_send_to_peers(e, &d);
-}
-
 static void on_server_message(struct edge *e, struct mpk_reader *in,
 			      enum emsg_kind kind)
 {
@@ -538,7 +473,7 @@
 	else if (kind == EMSG_LEAVING)
 		on_leaving(e, &in, sender);
 	else if (kind == EMSG_QUOTA || kind == EMSG_QUOTA_REGION)
-		on_quota(e, &in, sender, kind == EMSG_QUOTA_REGION);
+		emsg_on_quota(e, &in, sender, kind == EMSG_QUOTA_REGION);
 	else
 		on_server_message(e, &in, (enum emsg_kind)kind);
 	if (in.failed)
--- a/src/edge/edge_messages_internal.h
+++ b/src/edge/edge_messages_internal.h
@@ -6,8 +6,8 @@
 
 /*
  * Internal interface of the messages between edge VMs, shared by
- * edge_messages.c (socket, servers, load, change notices) and
- * edge_messages_gossip.c (membership).
+ * edge_messages.c (socket, servers, load, change notices),
+ * edge_messages_gossip.c (membership) and edge_messages_quota.c (quotas).
  */
 
 /* Fits an Ethernet frame together with the IP and UDP headers. */
@@ -48,6 +48,15 @@
 	       const struct sockaddr_in *to);
 /* Broadcasts a message to the live VMs of this region. */
 void emsg_send_to_peers(struct edge *e, const struct emsg_datagram *d);
+/* Sends a message to that many random VMs of each other region. */
+void emsg_send_to_other_regions(struct edge *e, const struct emsg_datagram *d,
+				uint32_t targets);
+/* Ages in milliseconds. */
+void emsg_put_age(struct mpk_writer *out, int64_t age_ns);
+int64_t emsg_get_age(struct mpk_reader *in);
+/* Handles the fields of EMSG_QUOTA, and of EMSG_QUOTA_REGION if region. */
+void emsg_on_quota(struct edge *e, struct mpk_reader *in, uint64_t sender,
+		   bool region);
 /* Handles the fields of EMSG_MEMBERS and EMSG_MEMBERS_REQUEST; replies with
  * all known records if reply_requested. */
 void emsg_on_members(struct edge *e, struct mpk_reader *in,
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -15,22 +15,12 @@
 #include "request_internal.h"
 #include "team_key.h"
 
-/* A body up to this size is buffered before a server is chosen, so that the
- * request can be retried where that is allowed. */
-#define BODY_BUFFER_BYTES 1048576
-/* Unsent bytes of a streamed body above which reading from the caller
- * pauses. */
-#define MAX_UNSENT_BODY_BYTES 262144
 /* Connections that may fail before a request is given up. */
 #define MAX_CONNECT_FAILURES 4
 /* A queued request checks the load again after one to two of these periods. */
 #define QUEUE_RECHECK_NS (30 * NS_PER_MS)
 /* The same while all servers are busy. */
 #define BUSY_RECHECK_NS (150 * NS_PER_MS)
-/* A request that has waited longer since it was counted for its team's quota
- * is checked again when it is sent: what the quota allowed over a long time
- * must not reach servers at once. */
-#define QUOTA_RECHECK_NS (500 * NS_PER_MS)
 /* Time after the start of a VM in which requests wait for the first
  * configuration, which usually arrives within half a second. */
 #define FIRST_CONF_WAIT_NS NS_PER_S
@@ -77,16 +67,9 @@
 		11);
 }
 
-static void give_quota_back(struct edge *e, struct req_row *r)
-{
-	if (r->quota_ns && !r->may_have_run && !r->may_be_running)
-		quota_give_back(&e->quota, r->team, e->ev.now_ns);
-	r->quota_ns = 0;
-}
-
 void req_finish(struct edge *e, struct req_row *r)
 {
-	give_quota_back(e, r);
+	req_give_quota_back(e, r);
 	bconn_cancel(e, r->backend_conn);
 	r->backend_conn = HND_NONE;
 	r->state = REQ_DONE;
@@ -149,19 +132,12 @@
 	       !hreq_is_hop_by_hop(head, name);
 }
 
-/* True while fields that identify a team must not be passed on: also for an
- * unrouted request, as the first configuration may have teams. */
-static bool guards_team_fields(const struct edge *e)
-{
-	return !edge_has_state(e) || e->conf->has_teams;
-}
-
 /* Builds the forwarded head without the fields that frame the body or that
  * differ between attempts. */
 static void build_head(const struct edge *e, struct req_row *r,
 		       const struct hreq *head)
 {
-	bool guard = guards_team_fields(e);
+	bool guard = req_guards_team_fields(e);
 	size_t i;
 
 	strbuf_addf(&r->head, "%.*s %.*s HTTP/1.1\r\nHost: %.*s\r\n",
@@ -195,27 +171,6 @@
 	r->objective_ns = route->objective_ns;
 }
 
-/* Two keys could be those of two teams: neither counts. */
-static struct tkey_credential read_credential(const struct edge *e,
-					      const struct hreq *head)
-{
-	if (hreq_count(head, e->headers->authorization) != 1)
-		return (struct tkey_credential){.present = false};
-	return tkey_read(hreq_header(head, e->headers->authorization));
-}
-
-static void set_team(struct edge *e, struct req_row *r,
-		     const struct conf_team *team)
-{
-	if (!team)
-		return;
-	r->team = team->key;
-	r->team_priority = team->priority;
-	if (e->headers->team.len)
-		strbuf_addf(&r->head, "%.*s: %.*s\r\n",
-			    STR_FMT(e->headers->team), STR_FMT(team->name));
-}
-
 static struct hnd refuse_unrouted(struct edge *e, struct hnd caller,
 				  const struct hreq *head, int status,
 				  const char *why)
@@ -301,7 +256,7 @@
 	enum chk_route found;
 	int64_t deadline_ns;
 	const char *fault;
-	struct tkey_credential credential = read_credential(e, head);
+	struct tkey_credential credential = req_read_credential(e, head);
 	const struct conf_team *team = NULL;
 	enum tkey_result key = TKEY_ALLOWED;
 	struct req_row *r;
@@ -339,37 +294,12 @@
 	r = req_get(e, h);
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
-	set_team(e, r, team);
+	req_set_team(e, r, team);
 	count_request(e, r);
 	quota_count_asked(&e->quota, r->team, e->ev.now_ns);
 	return h;
 }
 
-/* Checks a request that arrived before the first configuration; false if it
- * was refused. */
-static bool identify_team(struct edge *e, struct req_row *r,
-			  const struct conf_route *route)
-{
-	const struct conf_team *team = NULL;
-	enum tkey_result key;
-
-	if (!e->conf->has_teams) {
-		if (!r->has_team_fields)
-			return true;
-		/* They belong to the request here, and were not kept. */
-		req_refuse(e, r, 503, "credentials not kept");
-		return false;
-	}
-	key = tkey_check(e->conf, route, &r->credential, &team);
-	if (key == TKEY_ALLOWED) {
-		set_team(e, r, team);
-		return true;
-	}
-	ctr_add(CTR_REFUSED_KEY, 1);
-	req_refuse(e, r, 401, tkey_reason(key));
-	return false;
-}
-
 bool req_may_run_beside(const struct edge *e, const struct hreq *head)
 {
 	const struct conf_route *route;
@@ -389,11 +319,6 @@
 		r->caller = caller;
 }
 
-static bool is_body_buffered(const struct req_row *r)
-{
-	return r->body_done || r->body.len > BODY_BUFFER_BYTES;
-}
-
 void req_route(struct edge *e, struct hnd h)
 {
 	struct req_row *r = req_get(e, h);
@@ -414,13 +339,13 @@
 			   no_route_reason(found));
 		return;
 	}
-	if (!identify_team(e, r, route))
+	if (!req_identify_team(e, r, route))
 		return;
 	r->state = REQ_RECEIVING;
 	set_route(e, r, route);
 	count_request(e, r);
 	quota_count_asked(&e->quota, r->team, e->ev.now_ns);
-	if (is_body_buffered(r))
+	if (req_is_body_buffered(r))
 		req_dispatch(e, h);
 }
 
@@ -429,66 +354,6 @@
 	return e->start_ns + FIRST_CONF_WAIT_NS;
 }
 
-static void append_framing(const struct req_row *r, struct strbuf *out)
-{
-	if (!r->body_done && r->chunked)
-		strbuf_add(out, STR("Transfer-Encoding: chunked\r\n"));
-	else if (!r->body_done)
-		strbuf_addf(out, "Content-Length: %llu\r\n",
-			    (unsigned long long)r->length);
-	else if (r->body.len || r->chunked || r->has_length)
-		strbuf_addf(out, "Content-Length: %zu\r\n", r->body.len);
-}
-
-static void append_body(const struct req_row *r, struct strbuf *out,
-			struct str data)
-{
-	bool chunked = r->streaming && r->chunked;
-
-	if (!data.len)
-		return;
-	if (chunked)
-		strbuf_addf(out, "%zx\r\n", data.len);
-	strbuf_add(out, data);
-	if (chunked)
-		strbuf_add(out, STR("\r\n"));
-}
-
-void req_send(struct edge *e, struct hnd h)
-{
-	struct req_row *r = req_get(e, h);
-	const struct srv_row *s = req_server(e, r);
-	int64_t left_ms = (r->expires_ns - e->ev.now_ns) / NS_PER_MS;
-	struct strbuf out;
-
-	if (!s || s->state == SRV_GONE) {
-		req_change_server(e, h);
-		return;
-	}
-	strbuf_init(&out);
-	strbuf_add(&out, strbuf_view(&r->head));
-	if (e->headers->deadline_ms.len)
-		strbuf_addf(&out, "%.*s: %lld\r\n",
-			    STR_FMT(e->headers->deadline_ms),
-			    (long long)(left_ms > 1 ? left_ms : 1));
-	if (e->headers->expect_server.len)
-		strbuf_addf(&out, "%.*s: %s\r\n",
-			    STR_FMT(e->headers->expect_server), s->id);
-	r->streaming = !r->body_done;
-	append_framing(r, &out);
-	strbuf_add(&out, STR("\r\n"));
-	append_body(r, &out, strbuf_view(&r->body));
-	if (r->streaming)
-		strbuf_free(&r->body);
-	r->state = REQ_SENT;
-	r->sent_ns = e->ev.now_ns;
-	r->sends++;
-	r->may_be_running = true;
-	bconn_send(e, r->backend_conn, strbuf_view(&out), r->body_done);
-	strbuf_free(&out);
-	cmem_update(e, r->caller);
-}
-
 int64_t req_mean_latency_ns(struct edge *e, const struct req_row *r)
 {
 	int64_t mean = edge_service(e, r->service)->mean_latency_ns;
@@ -541,60 +406,6 @@
 	req_refuse(e, r, r->may_have_run ? 502 : 503, why);
 }
 
-static void log_quota_refusal(const struct edge *e, const struct req_row *r,
-			      const struct quota_decision *d)
-{
-	const struct conf_team *team = conf_find_team(e->conf, r->team);
-
-	logs_event(
-		LOGS_INFO, "quota",
-		(struct logs_field[]){
-			LOGS_STR("request", strbuf_view(&r->id)),
-			LOGS_STR("team", team ? team->name : STR_NONE),
-			LOGS_INT("fill", (int64_t)d->fill),
-			LOGS_INT("share_permille", (int64_t)(d->share * 1000)),
-			LOGS_INT("demand_per_s", (int64_t)d->demand_per_s),
-		},
-		5);
-}
-
-/* Counts the request for its team's quota, once; false if it was refused as
- * beyond the quota. */
-static bool take_quota(struct edge *e, struct req_row *r)
-{
-	struct quota_decision d;
-
-	if (!r->team || r->quota_ns)
-		return true;
-	d = quota_take(&e->quota, r->team, e->ev.now_ns);
-	if (d.allowed) {
-		r->quota_ns = e->ev.now_ns;
-		return true;
-	}
-	log_quota_refusal(e, r, &d);
-	ctr_add(CTR_REFUSED_QUOTA, 1);
-	r->retry_after_ns = d.retry_after_ns;
-	req_refuse(e, r, 429, "beyond the quota");
-	return false;
-}
-
-/* The same for a request that has waited since it was counted; it is not sent
- * yet. */
-static bool recheck_quota(struct edge *e, struct req_row *r)
-{
-	if (!r->quota_ns || r->sends ||
-	    e->ev.now_ns - r->quota_ns < QUOTA_RECHECK_NS)
-		return true;
-	if (quota_may_still_run(&e->quota, r->team, e->ev.now_ns)) {
-		r->quota_ns = e->ev.now_ns;
-		return true;
-	}
-	ctr_add(CTR_REFUSED_QUOTA, 1);
-	r->retry_after_ns = NS_PER_S;
-	req_refuse(e, r, 429, "beyond the quota");
-	return false;
-}
-
 static struct admit_request make_admit_request(struct edge *e,
 					       const struct req_row *r)
 {
@@ -679,20 +490,6 @@
 	req_queue_wake(e, r->service);
 }
 
-/* Counts the slot that the request gets for its team. */
-static void charge_team(struct edge *e, struct req_row *r)
-{
-	int64_t work_ns = req_expected_work(e, r).mean_ns;
-
-	fairq_advance(&e->fair, r->service,
-		      fairq_start(&e->fair, r->service, r->team));
-	fairq_charge(&e->fair, r->service, r->team, work_ns);
-	if (r->queued_ns)
-		ctr_observe_queue_wait(r->priority,
-				       e->ev.now_ns - r->queued_ns);
-	r->queued_ns = 0;
-}
-
 void req_try_send(struct edge *e, struct hnd h)
 {
 	struct req_row *r = req_get(e, h);
@@ -708,7 +505,7 @@
 		req_give_up(e, r, "VM is stopping");
 		return;
 	}
-	if (!take_quota(e, r))
+	if (!req_take_quota(e, r))
 		return;
 	pick = pick_server(e, r, admit_max_load(&admission));
 	if (pick.result == PICK_FULL) {
@@ -724,9 +521,9 @@
 	admission.load = pick.load;
 	if (!pick.trial && !admit(e, r, &admission))
 		return;
-	if (!recheck_quota(e, r))
+	if (!req_recheck_quota(e, r))
 		return;
-	charge_team(e, r);
+	req_charge_team(e, r);
 	s = tab_get(&e->servers, pick.server);
 	r->server = pick.server;
 	r->server_generation = s->generation;
@@ -747,42 +544,6 @@
 		req_send(e, h);
 }
 
-bool req_wants_body(const struct edge *e, struct hnd h)
-{
-	const struct req_row *r = req_get(e, h);
-
-	if (!r)
-		return true;
-	if (r->streaming)
-		return bconn_unsent_bytes(e, r->backend_conn) <
-		       MAX_UNSENT_BODY_BYTES;
-	return r->body.len <= BODY_BUFFER_BYTES;
-}
-
-bool req_body_received(struct edge *e, struct hnd h, struct str data, bool done)
-{
-	struct req_row *r = req_get(e, h);
-	struct strbuf out;
-
-	if (!r)
-		return true;
-	r->body_done |= done;
-	r->body_bytes += data.len;
-	if (!r->streaming) {
-		strbuf_add(&r->body, data);
-		if (r->state == REQ_RECEIVING && is_body_buffered(r))
-			req_dispatch(e, h);
-		return req_wants_body(e, h);
-	}
-	strbuf_init(&out);
-	append_body(r, &out, data);
-	if (done && r->chunked)
-		strbuf_add(&out, STR("0\r\n\r\n"));
-	bconn_send(e, r->backend_conn, strbuf_view(&out), done);
-	strbuf_free(&out);
-	return req_wants_body(e, h);
-}
-
 void req_cancel(struct edge *e, struct hnd h, const char *why)
 {
 	struct req_row *r = req_get(e, h);
--- a/src/edge/request_internal.h
+++ b/src/edge/request_internal.h
@@ -6,10 +6,11 @@
 
 /*
  * Internal interface of the requests in flight, shared by request.c (from the
- * caller to the backend server), request_connection.c (the connection to it
- * before the request is sent), request_queue.c (requests that wait for a slot),
- * request_attempt.c (results of attempts),
- * request_timeout.c (timeouts) and request_stop.c (a VM that stops).
+ * caller to the backend server), request_team.c (teams and quotas),
+ * request_body.c (what is sent to the server), request_connection.c (the
+ * connection to it before the request is sent), request_queue.c (requests that
+ * wait for a slot), request_attempt.c (results of attempts), request_timeout.c
+ * (timeouts) and request_stop.c (a VM that stops).
  */
 
 /* Mean latency assumed before a service's first response. */
@@ -75,6 +76,34 @@
 /* Retries a safe request whose server stalls if it can be sent at once and the
  * retry budget allows it. */
 void req_retry_stalled(struct edge *e, struct hnd h);
+/* True when no more of the body is to be buffered before it is sent. */
+bool req_is_body_buffered(const struct req_row *r);
+
+/* Teams and their quotas (request_team.c). */
+
+/* True while fields that identify a team must not be passed on: also for an
+ * unrouted request, as the first configuration may have teams. */
+bool req_guards_team_fields(const struct edge *e);
+struct tkey_credential req_read_credential(const struct edge *e,
+					   const struct hreq *head);
+/* Sets the team, which may be NULL, and its name for the server. */
+void req_set_team(struct edge *e, struct req_row *r,
+		  const struct conf_team *team);
+/* Checks a request that arrived before the first configuration; false if it was
+ * refused. */
+bool req_identify_team(struct edge *e, struct req_row *r,
+		       const struct conf_route *route);
+/* Counts the request for its team's quota, once; false if it was refused as
+ * beyond the quota. */
+bool req_take_quota(struct edge *e, struct req_row *r);
+/* The same for a request that has waited since it was counted; it is not sent
+ * yet. */
+bool req_recheck_quota(struct edge *e, struct req_row *r);
+/* Returns the token of a request that has ended without being run. */
+void req_give_quota_back(struct edge *e, struct req_row *r);
+/* Counts the expected work of a request for its team's share of the service. */
+void req_charge_team(struct edge *e, struct req_row *r);
+
 /* Moving average of the latency of the request's service. */
 int64_t req_mean_latency_ns(struct edge *e, const struct req_row *r);
 
