--- a/src/edge/edge_messages.h
+++ b/src/edge/edge_messages.h
@@ -28,10 +28,10 @@
  */
 void emsg_send_load(struct edge *e, const struct load_report *r,
 		    const struct bud_report *budget, bool zone_only);
-/* Sends the summary of this region to a few VMs of each other region, which
- * forward it within theirs. */
 /* Sends counts of teams to the peers or, if region, to other regions. */
 void emsg_send_quota(struct edge *e, const struct quota_report *r, bool region);
+/* Sends the summary of this region to a few VMs of each other region, which
+ * forward it within theirs. */
 void emsg_send_summary(struct edge *e, const struct load_summary *s);
 /* Sends a change notice to a VM, or to all peers if that is NULL; false if it
  * does not fit a datagram. */
--- a/src/edge/trial_policy.c
+++ b/src/edge/trial_policy.c
@@ -20,18 +20,18 @@
 /* Each VM waits that much longer than the one of the rank before, as requests
  * sent to a faulty server at the same moment fail together; and the longest
  * delay. It exceeds the time in which a VM hears of the trial of another one.
- * With 200 ms, small fleets with few requests a VM returned servers too
- * late. */
+ * A longer one delays the return of servers where a VM has few requests. */
 #define RANK_DELAY_NS (40 * NS_PER_MS)
 #define MAX_RANK_DELAY_NS (1700 * NS_PER_MS)
 /* The same for a server that is not ejected, below the two seconds after which
  * unused capacity counts as taken out of service. */
 #define IDLE_RANK_DELAY_NS (20 * NS_PER_MS)
 #define MAX_IDLE_RANK_DELAY_NS (400 * NS_PER_MS)
-/* Part of the slots in use up to which capacity is ample: the demand of users
- * swings by half around its mean. */
+/* Part of the slots in use up to which capacity is ample: the rest is for
+ * bursts between two load reports. */
 #define AMPLE_PERMILLE 750
-/* Idempotent requests cover a service if each server gets one in this time. */
+/* Idempotent requests cover a service if each server gets one in this time,
+ * about the longest interval between their trials of an ejected server. */
 #define COVER_S 3.0
 
 static int64_t doubled(int64_t interval_ns, uint32_t failures, uint32_t most)
