--- a/review/standins-2/kit.c
+++ b/review/standins-2/kit.c
@@ -204,8 +204,10 @@
 		}
 		if (end && len >= need)
 			break;
-		if (len + 1 >= size)
+		if (len + 1 >= size) {
+			*left_over = len;
 			return false;
+		}
 		n = recv(fd, out + len, size - 1 - len, 0);
 		if (n <= 0)
 			return false;
@@ -432,8 +434,8 @@
 
 void kit_call(struct kit_call *c)
 {
-	char *buffer = malloc(KIT_BODY_BYTES), *body = "", value[64];
-	size_t left = 0;
+	size_t left = 0, size = KIT_BODY_BYTES + (c->body ? strlen(c->body) : 0);
+	char *buffer = malloc(size), *body = "", value[64];
 	int fd;
 
 	c->sent_ms = kit_ms();
@@ -441,7 +443,7 @@
 	c->signature = c->leaving = false;
 	c->got[0] = '\0';
 	fd = connect_to(address(AT_VM, c->vm, 0), c->deadline_ms);
-	snprintf(buffer, KIT_BODY_BYTES,
+	snprintf(buffer, size,
 		 "%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\n"
 		 "Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
 		 c->method, c->path, c->id, c->deadline_ms,
@@ -551,6 +553,51 @@
 	send_all(fd, out, strlen(out));
 }
 
+/* Reads the rest of a body. */
+static bool read_rest(int fd, char *buffer, size_t left)
+{
+	while (left) {
+		size_t most = left < KIT_BODY_BYTES ? left : KIT_BODY_BYTES;
+		ssize_t n = recv(fd, buffer, most, 0);
+
+		if (n <= 0)
+			return false;
+		left -= (size_t)n;
+	}
+	return true;
+}
+
+/* Handles an upload, whose body does not fit the buffer: begins to work, reads
+ * what has arrived, and the rest at once or after slow_read_ms, and responds
+ * after upload_ms. False if the connection is to be closed. */
+static bool serve_upload(struct kit_server *s, int fd, char *buffer,
+			 size_t len, const char *end)
+{
+	size_t head = (size_t)(end + 4 - buffer), left;
+	int64_t begun = kit_ms();
+	char id[64], value[32], more[160], body[200];
+
+	get_field(buffer, "Request-Id", id, sizeof(id));
+	get_field(buffer, "Content-Length", value, sizeof(value));
+	left = strtoul(value, NULL, 10) - (len - head);
+	kit_record("%s runs %s, an upload of %s bytes", s->id, id, value);
+	if (s->on_run)
+		s->on_run(s, id, "");
+	kit_sleep(s->slow_read_ms);
+	if (!read_rest(fd, buffer, left)) {
+		kit_record("%s: the connection of %s ends at work", s->id, id);
+		return false;
+	}
+	kit_record("%s has read %s", s->id, id);
+	kit_sleep_until(begun + s->upload_ms);
+	snprintf(more, sizeof(more), "Response-Signature: sig.%s.%s\r\n", s->id,
+		 id);
+	snprintf(body, sizeof(body), "%s from %s", id, s->id);
+	kit_record("%s responds to %s", s->id, id);
+	respond(s, fd, "200 OK", id, more, body);
+	return true;
+}
+
 /* Handles one request; false if the connection is to be closed. */
 static bool serve(struct kit_server *s, int fd, const char *head)
 {
@@ -596,10 +643,15 @@
 	size_t left = 0;
 
 	free(arg);
-	while (!c.s->ended &&
-	       read_message(c.fd, in, KIT_BODY_BYTES, &body, &left)) {
-		if (!serve(c.s, c.fd, in))
+	while (!c.s->ended) {
+		if (read_message(c.fd, in, KIT_BODY_BYTES, &body, &left)) {
+			if (!serve(c.s, c.fd, in))
+				break;
+		} else if (left < KIT_BODY_BYTES - 1 ||
+			   !serve_upload(c.s, c.fd, in, left,
+					 strstr(in, "\r\n\r\n"))) {
 			break;
+		}
 		left = 0;
 	}
 	pthread_mutex_lock(&c.s->lock);
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -52,7 +52,8 @@
 void kit_wait_ready(int n);
 struct sockaddr_in kit_vm_address(int n);
 
-/* One request of a caller on a connection of its own. */
+/* One request of a caller on a connection of its own; the response is read as
+ * far as it fits the buffer. */
 struct kit_call {
 	int vm;
 	const char *method;
@@ -88,6 +89,11 @@
 	bool beats;
 	/* Work of a request in milliseconds. */
 	int work_ms;
+	/* An upload of more than KIT_BODY_BYTES gets its response upload_ms after
+	 * it has begun to run; the server reads its first bytes, and goes on
+	 * reading slow_read_ms later. */
+	int upload_ms;
+	int slow_read_ms;
 	/* Closed: accepts nothing more and has cut all connections. */
 	bool ended;
 	/* Called when a request begins to run. */
