--- a/review/standins-2/kit.c
+++ b/review/standins-2/kit.c
@@ -553,6 +553,27 @@
 	send_all(fd, out, strlen(out));
 }
 
+/* Sends a response with a body of download_bytes. */
+static bool respond_large(struct kit_server *s, int fd, const char *id,
+			  const char *more)
+{
+	char head[512];
+	char *body = malloc(s->download_bytes);
+	bool ok;
+
+	memset(body, 'd', s->download_bytes);
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s"
+		 "Keep-Alive: timeout=10\r\nContent-Length: %zu\r\n\r\n",
+		 id, more, s->download_bytes);
+	ok = send_all(fd, head, strlen(head)) &&
+	     send_all(fd, body, s->download_bytes);
+	kit_record("%s has sent its whole response to %s: %s", s->id, id,
+		   ok ? "yes" : "no");
+	free(body);
+	return ok;
+}
+
 /* Reads the rest of a body. */
 static bool read_rest(int fd, char *buffer, size_t left)
 {
@@ -632,6 +653,8 @@
 	snprintf(body, sizeof(body), "%s from %s", id, s->id);
 	kit_record("%s responds to %s%s", s->id, id,
 		   s->leaving ? " with Server-Leaving" : "");
+	if (!strncmp(path, "/download/", 10))
+		return respond_large(s, fd, id, more);
 	respond(s, fd, "200 OK", id, more, body);
 	return !s->leaving;
 }
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -94,6 +94,8 @@
 	 * reading slow_read_ms later. */
 	int upload_ms;
 	int slow_read_ms;
+	/* Body of a response to a path below /download/. */
+	size_t download_bytes;
 	/* Closed: accepts nothing more and has cut all connections. */
 	bool ended;
 	/* Called when a request begins to run. */
