--- a/review/standins-2/kit.c
+++ b/review/standins-2/kit.c
@@ -574,6 +574,27 @@
 	return ok;
 }
 
+/* Sends a body without a length until the caller closes, 400 KB a second for 10 s
+ * at most. */
+static bool respond_without_end(struct kit_server *s, int fd, const char *id,
+				const char *more)
+{
+	static const char bytes[8000] = {'e'};
+	char head[512];
+	int i;
+
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n", id, more);
+	if (send_all(fd, head, strlen(head)))
+		for (i = 0; i < 500 && !s->ended; i++) {
+			if (!send_all(fd, bytes, sizeof(bytes)))
+				break;
+			kit_sleep(20);
+		}
+	kit_record("%s: the caller of %s has closed", s->id, id);
+	return false;
+}
+
 /* Reads the rest of a body. */
 static bool read_rest(int fd, char *buffer, size_t left)
 {
@@ -653,6 +674,8 @@
 	snprintf(body, sizeof(body), "%s from %s", id, s->id);
 	kit_record("%s responds to %s%s", s->id, id,
 		   s->leaving ? " with Server-Leaving" : "");
+	if (s->endless)
+		return respond_without_end(s, fd, id, more);
 	if (!strncmp(path, "/download/", 10))
 		return respond_large(s, fd, id, more);
 	respond(s, fd, "200 OK", id, more, body);
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -96,6 +96,8 @@
 	int slow_read_ms;
 	/* Body of a response to a path below /download/. */
 	size_t download_bytes;
+	/* Its responses have a body that does not end. */
+	bool endless;
 	/* Closed: accepts nothing more and has cut all connections. */
 	bool ended;
 	/* Called when a request begins to run. */
