--- a/review/7/late_row.c
+++ b/review/8/late_row.c
@@ -197,7 +197,7 @@
 {
 	int i, count, result;
 
-	kit_start("review/7");
+	kit_start("review/8");
 	put_config();
 	for (i = 0; i < 3; i++) {
 		servers[i].born = 1765080000000 + i;
--- a/review/8/pipelined_stop.c
+++ b/review/9/pipelined_stop.c
@@ -165,7 +165,7 @@
 	int64_t term_ms;
 	int i, result;
 
-	kit_start("review/8");
+	kit_start("review/9");
 	put_config();
 	for (i = 0; i < 2; i++) {
 		servers[i].born = 1765080000000 + i;
